--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,10 @@
+package config
+
+import "github.com/rotisserie/eris"
+
+// Sentinel errors of this package.
+var (
+	ErrBadVersion  = eris.New("a version is epoch.revision, two whole numbers")
+	ErrBadDuration = eris.New("a duration is a string such as \"2s\" or \"150ms\"")
+	ErrRejected    = eris.New("the configuration is rejected")
+)
--- /dev/null
+++ b/internal/config/report.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one reason to reject a configuration.
+type Problem struct {
+	// File names the file, or is empty for the folder as a whole.
+	File string `json:"file,omitempty"`
+	// Pointer is the JSON pointer (RFC 6901) of the value at fault.
+	Pointer string `json:"pointer,omitempty"`
+	// What says what is wrong.
+	What string `json:"what"`
+	// Hint says how to mend it.
+	Hint string `json:"hint,omitempty"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s: ", p.File)
+	}
+	if p.Pointer != "" {
+		fmt.Fprintf(&b, "%s: ", p.Pointer)
+	}
+	b.WriteString(p.What)
+	if p.Hint != "" {
+		fmt.Fprintf(&b, " (%s)", p.Hint)
+	}
+	return b.String()
+}
+
+// Report holds all problems of a folder.
+type Report struct {
+	Problems []Problem `json:"problems"`
+}
+
+// OK reports whether the configuration may be applied.
+func (r *Report) OK() bool {
+	return len(r.Problems) == 0
+}
+
+func (r *Report) add(p Problem) {
+	r.Problems = append(r.Problems, p)
+}
+
+// Error returns all problems, a line each.
+func (r *Report) Error() string {
+	lines := make([]string, 0, len(r.Problems))
+	for _, p := range r.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,45 @@
+package verdict_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/verdict"
+)
+
+func TestVerdict(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "verdict")
+}
+
+var _ = Describe("Verdict", func() {
+	DescribeTable("permits a retry only with a proof or an idempotent request",
+		func(v verdict.Verdict, idempotent, want bool) {
+			Expect(v.PermitsRetry(idempotent)).To(Equal(want))
+		},
+		Entry("not run, not idempotent", verdict.NotRun, false, true),
+		Entry("may have run, not idempotent", verdict.MayHaveRun, false, false),
+		Entry("may have run, idempotent", verdict.MayHaveRun, true, true),
+		Entry("ran, idempotent", verdict.Ran, true, false),
+	)
+
+	It("survives its header value", func() {
+		for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
+			Expect(verdict.Parse(v.String())).To(Equal(v))
+		}
+		Expect(verdict.Parse("nonsense")).To(Equal(verdict.MayHaveRun))
+	})
+
+	It("makes an unknown error MayHaveRun", func() {
+		Expect(verdict.Of(errors.New("broken")).Verdict).To(Equal(verdict.MayHaveRun))
+	})
+
+	It("finds a typed error inside a wrapped one", func() {
+		wrapped := eris.Wrap(verdict.Refuse(verdict.ReasonCold, 0), "gate")
+		Expect(verdict.Of(wrapped).Verdict).To(Equal(verdict.NotRun))
+	})
+})
--- /dev/null
+++ b/internal/wire/doc.go
@@ -0,0 +1,5 @@
+// Package wire holds the messages that cross a link between nodes. The
+// messages are generated from proto/boragefall.proto:
+//
+//	protoc --go_out=. --go_opt=module=boragefall proto/boragefall.proto
+package wire
