--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,131 @@
+// Package backend speaks HTTP to the backend server beside a node.
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/verdict"
+)
+
+// Client sends requests to one backend server over pooled connections.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+}
+
+// NewClient returns a client of the server that cfg names.
+func NewClient(cfg Config) *Client {
+	cfg = cfg.withDefaults()
+	dialer := net.Dialer{Timeout: cfg.DialTimeout}
+	return &Client{
+		cfg: cfg,
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     cfg.Connections,
+			MaxIdleConns:        cfg.Connections,
+			MaxIdleConnsPerHost: cfg.Connections,
+			IdleConnTimeout:     cfg.IdleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Do sends a request and returns the answer once its headers are there. Its
+// errors are *verdict.Error.
+func (c *Client) Do(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
+	progress := &progress{}
+	request, err := c.newRequest(httptrace.WithClientTrace(ctx, progress.trace()), r)
+	if err != nil {
+		// Proof: nothing was sent, the request could not even be formed.
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, classify(ctx, progress, err)
+	}
+	return newAnswer(response), nil
+}
+
+func (c *Client) newRequest(ctx context.Context, r *contract.Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.cfg.Address+r.URI, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = r.Host
+	request.Header = r.Header.Clone()
+	request.Header.Set(contract.HeaderRequestID, r.ID)
+	request.Header.Set(contract.HeaderAttempt, strconv.Itoa(r.Attempt))
+	request.Header.Set(contract.HeaderHops, strconv.Itoa(r.Hops))
+	remaining := r.Remaining(time.Now()).Milliseconds()
+	request.Header.Set(contract.HeaderDeadline, strconv.FormatInt(max(remaining, 1), 10))
+	if request.Header.Get("User-Agent") == "" {
+		request.Header.Set("User-Agent", "")
+	}
+	// A body that is neither nil nor NoBody, without GetBody, keeps the
+	// transport from sending a request a second time on its own: it would do
+	// so for any request with an Idempotency-Key whose connection breaks.
+	request.Body = io.NopCloser(r.Body)
+	request.GetBody = nil
+	request.ContentLength = r.ContentLength
+	if len(r.Trailer) > 0 {
+		request.Trailer = r.Trailer
+	}
+	return request, nil
+}
+
+// progress notes how far a request came.
+type progress struct {
+	connected atomic.Bool
+}
+
+func (p *progress) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+	}
+}
+
+// classify turns a transport error into a verdict.
+func classify(ctx context.Context, p *progress, err error) *verdict.Error {
+	if !p.connected.Load() {
+		// Proof: the request never had a connection to be written to.
+		return verdict.New(verdict.NotRun, reasonOf(ctx, verdict.ReasonUnreachable), err)
+	}
+	return verdict.New(verdict.MayHaveRun, reasonOf(ctx, verdict.ReasonConnectionLost), err)
+}
+
+func reasonOf(ctx context.Context, otherwise verdict.Reason) verdict.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.ReasonDeadline
+	case ctx.Err() != nil:
+		return verdict.ReasonCanceled
+	default:
+		return otherwise
+	}
+}
+
+// newAnswer wraps a response. net/http reports a body that is shorter than its
+// stated length, or chunks without an end, as io.ErrUnexpectedEOF.
+func newAnswer(response *http.Response) *contract.Answer {
+	return &contract.Answer{
+		Status:        response.StatusCode,
+		Header:        contract.EndToEnd(response.Header),
+		Trailer:       func() http.Header { return response.Trailer },
+		ContentLength: response.ContentLength,
+		Body:          response.Body,
+	}
+}
--- /dev/null
+++ b/internal/contract/answer.go
@@ -0,0 +1,32 @@
+package contract
+
+import (
+	"io"
+	"net/http"
+
+	"boragefall/internal/host"
+)
+
+// Answer is a backend server's answer. Body returns an error instead of
+// io.EOF when the answer was cut.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Trailer returns the trailers once Body has returned io.EOF. It is never
+	// nil.
+	Trailer func() http.Header
+	// ContentLength is the body's length in bytes, or -1.
+	ContentLength int64
+	// Load is the gate's load when the answer started.
+	Load Load
+	// Body must be closed.
+	Body io.ReadCloser
+}
+
+// Load is what a gate reports with each answer.
+type Load struct {
+	Running, Queued, Limit int
+	State                  host.State
+}
--- /dev/null
+++ b/internal/contract/request.go
@@ -0,0 +1,68 @@
+// Package contract states what one node asks of another for one request, and
+// what it gets back.
+package contract
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+)
+
+// HopLimit is the largest number of nodes that a request and the requests
+// nested in it may pass through.
+const HopLimit = 32
+
+// Request is one attempt to have a request run.
+type Request struct {
+	// ID names the request in answers, logs and spans.
+	ID string
+	// Caller is the name that the caller gave, or its address.
+	Caller string
+	// Method, URI (path and query) and Host are those of the HTTP request.
+	Method, URI, Host string
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Route and Service are names in the configuration.
+	Route, Service string
+	// Idempotent is the route's class.
+	Idempotent bool
+	// Priority is the route's priority at the gate.
+	Priority config.Priority
+	// Key is the idempotency key, already scoped to the caller. It is empty
+	// for idempotent requests.
+	Key string
+	// KeyTime is the key's own time; the zero time means that it has none.
+	KeyTime time.Time
+	// KeyMinted reports that the entry made the key, so no other process
+	// knows it.
+	KeyMinted bool
+	// Digest identifies the body when it was buffered whole.
+	Digest []byte
+	// Deadline bounds the request, in this process's clock.
+	Deadline time.Time
+	// Attempt counts tries from 0, over all hops.
+	Attempt int
+	// Hops counts the nodes passed so far.
+	Hops int
+	// Config and HostListRevision are the sender's views.
+	Config           config.Version
+	HostListRevision uint64
+	// Fences names the hosts that will never run this key.
+	Fences []host.ID
+	// Fingerprint identifies the request to the quarantine.
+	Fingerprint uint64
+	// ContentLength is the body's length in bytes, or -1.
+	ContentLength int64
+	// Body is never nil.
+	Body io.Reader
+	// Trailer is filled once Body has returned io.EOF.
+	Trailer http.Header
+}
+
+// Remaining returns the time left before the deadline.
+func (r *Request) Remaining(now time.Time) time.Duration {
+	return r.Deadline.Sub(now)
+}
--- /dev/null
+++ b/internal/exchange/body.go
@@ -0,0 +1,112 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/link"
+	"boragefall/internal/wire"
+)
+
+// ChunkBytes is the largest part of a body in one message.
+const ChunkBytes = 32 << 10
+
+// ErrCut reports a body that ended before its last chunk or whose length is
+// not the stated one.
+var ErrCut = eris.New("the body was cut")
+
+var chunkBuffers = sync.Pool{New: func() any { return new([ChunkBytes]byte) }}
+
+// sendBody sends a body as chunks and then the end with the total and the
+// trailers. Small bodies leave with what was buffered before.
+func sendBody(stream *link.Stream, body io.Reader, length int64, trailers func() http.Header) error {
+	buffer := chunkBuffers.Get().(*[ChunkBytes]byte)
+	defer chunkBuffers.Put(buffer)
+	var total uint64
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			total += uint64(n)
+			if sendErr := stream.Send(&wire.Chunk{Data: buffer[:n]}); sendErr != nil {
+				return sendErr
+			}
+		}
+		if err == io.EOF {
+			return sendEnd(stream, total, trailers())
+		}
+		if err != nil {
+			return eris.Wrap(ErrCut, err.Error())
+		}
+		if int64(total) == length {
+			continue // the end follows at once, in the same write
+		}
+		if err := stream.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func sendEnd(stream *link.Stream, total uint64, trailers http.Header) error {
+	end := &wire.Chunk{End: true, Total: total, Trailers: encodeHeaders(trailers)}
+	if err := stream.Send(end); err != nil {
+		return err
+	}
+	return stream.Flush()
+}
+
+// bodyReader reads a body's chunks from a stream.
+type bodyReader struct {
+	stream  *link.Stream
+	trailer http.Header
+	length  int64 // stated length, or -1
+	chunk   wire.Chunk
+	rest    []byte
+	total   uint64
+	err     error
+	onEnd   func()
+}
+
+// Read returns ErrCut when the stream ends before the last chunk.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.next()
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *bodyReader) next() {
+	b.chunk.Reset()
+	if err := b.stream.Receive(&b.chunk); err != nil {
+		b.err = eris.Wrap(ErrCut, err.Error())
+		return
+	}
+	b.rest = b.chunk.GetData()
+	b.total += uint64(len(b.rest))
+	if b.chunk.GetEnd() {
+		b.err = b.finish()
+		if b.onEnd != nil {
+			b.onEnd()
+		}
+	}
+}
+
+func (b *bodyReader) finish() error {
+	if b.chunk.GetTotal() != b.total {
+		return eris.Wrapf(ErrCut, "%d bytes of %d", b.total, b.chunk.GetTotal())
+	}
+	if b.length >= 0 && b.total != uint64(b.length) {
+		return eris.Wrapf(ErrCut, "%d bytes of %d", b.total, b.length)
+	}
+	for _, h := range b.chunk.GetTrailers() {
+		b.trailer.Add(h.GetName(), h.GetValue())
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/exchange/client.go
@@ -0,0 +1,142 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/propagation"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/link"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+const traceParentHeader = "traceparent"
+
+// ErrCrossed reports an answer to another request.
+var ErrCrossed = eris.New("the answer carries another request's id")
+
+// Client sends requests to the gates of other nodes.
+type Client struct {
+	dialer     *link.Dialer
+	propagator propagation.TraceContext
+}
+
+// NewClient returns a client over a dialer of the request class.
+func NewClient(dialer *link.Dialer) *Client {
+	return &Client{dialer: dialer}
+}
+
+// Do sends a request to the gate at an address. Its errors are *verdict.Error.
+func (c *Client) Do(ctx context.Context, address string, r *contract.Request) (*contract.Answer, error) {
+	carrier := propagation.MapCarrier{}
+	c.propagator.Inject(ctx, carrier)
+	head := encodeRequest(r, carrier[traceParentHeader], time.Now())
+	opening := &wire.Opening{Kind: &wire.Opening_Request{Request: head}}
+	stream, err := c.dialer.Open(ctx, address, opening)
+	if err != nil {
+		// Proof: Open fails before any byte of the opening is flushed.
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, err)
+	}
+	call := &clientCall{stream: stream, sent: make(chan struct{})}
+	go call.sendBody(r)
+	answer, err := call.receive(ctx, r.ID)
+	if err != nil {
+		call.close()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// clientCall is a request under way.
+type clientCall struct {
+	stream *link.Stream
+	sent   chan struct{}
+}
+
+// sendBody sends the body. A failure shows at the receiving side: the gate
+// sees a cut body and answers, or the stream breaks.
+func (c *clientCall) sendBody(r *contract.Request) {
+	defer close(c.sent)
+	err := sendBody(c.stream, r.Body, r.ContentLength, func() http.Header { return r.Trailer })
+	if errors.Is(err, ErrCut) {
+		c.stream.Abort()
+	}
+}
+
+func (c *clientCall) receive(ctx context.Context, id string) (*contract.Answer, error) {
+	head := &wire.AnswerHead{}
+	if err := c.stream.Receive(head); err != nil {
+		return nil, lostAnswer(ctx, err)
+	}
+	if head.GetId() != id {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, ErrCrossed)
+	}
+	if refused := head.GetRefused(); refused != nil {
+		return nil, decodeRefusal(refused)
+	}
+	trailer := http.Header{}
+	reader := &bodyReader{stream: c.stream, trailer: trailer, length: head.GetContentLength()}
+	return &contract.Answer{
+		Status:        int(head.GetStatus()),
+		Header:        decodeHeaders(head.GetHeaders()),
+		Trailer:       func() http.Header { return trailer },
+		ContentLength: head.GetContentLength(),
+		Load:          decodeLoad(head.GetLoad()),
+		Body:          &answerBody{bodyReader: reader, call: c},
+	}, nil
+}
+
+// close ends the exchange; an upload under way is stopped first.
+func (c *clientCall) close() {
+	c.stream.Abort()
+	<-c.sent
+	c.stream.Close()
+}
+
+// lostAnswer classifies a stream that broke after the request was sent:
+// nobody can prove that it did not run.
+func lostAnswer(ctx context.Context, err error) *verdict.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, err)
+	case ctx.Err() != nil:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, err)
+	default:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, err)
+	}
+}
+
+func decodeLoad(l *wire.Load) contract.Load {
+	return contract.Load{
+		Running: int(l.GetRunning()),
+		Queued:  int(l.GetQueued()),
+		Limit:   int(l.GetLimit()),
+		State:   host.State(l.GetState()),
+	}
+}
+
+func encodeLoad(l contract.Load) *wire.Load {
+	return &wire.Load{
+		Running: uint32(max(l.Running, 0)),
+		Queued:  uint32(max(l.Queued, 0)),
+		Limit:   uint32(max(l.Limit, 0)),
+		State:   uint32(l.State),
+	}
+}
+
+type answerBody struct {
+	*bodyReader
+	call *clientCall
+}
+
+// Close ends the exchange. Closing before the end cancels the request.
+func (b *answerBody) Close() error {
+	b.call.close()
+	return nil
+}
--- /dev/null
+++ b/internal/exchange/encode.go
@@ -0,0 +1,167 @@
+// Package exchange carries one request and its answer over one stream of a
+// link. Since each request has a stream of its own, answers cannot cross; the
+// echoed id and the stated length are checked all the same.
+package exchange
+
+import (
+	"net/http"
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+var priorities = []config.Priority{config.PriorityNormal, config.PriorityHigh, config.PriorityLow}
+
+func encodePriority(p config.Priority) uint32 {
+	for i, known := range priorities {
+		if p == known {
+			return uint32(i)
+		}
+	}
+	return 0
+}
+
+func decodePriority(n uint32) config.Priority {
+	if int(n) >= len(priorities) {
+		return config.PriorityNormal
+	}
+	return priorities[n]
+}
+
+func encodeHeaders(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		for _, value := range values {
+			out = append(out, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+func decodeHeaders(in []*wire.Header) http.Header {
+	out := make(http.Header, len(in))
+	for _, h := range in {
+		out.Add(h.GetName(), h.GetValue())
+	}
+	return out
+}
+
+const trailerHeader = "Trailer"
+
+// encodeRequestHeaders adds the names of announced trailers, which the last
+// hop must announce before the body.
+func encodeRequestHeaders(r *contract.Request) []*wire.Header {
+	out := encodeHeaders(r.Header)
+	for name := range r.Trailer {
+		out = append(out, &wire.Header{Name: trailerHeader, Value: name})
+	}
+	return out
+}
+
+// takeTrailerNames moves announced trailer names out of the headers.
+func takeTrailerNames(h http.Header) http.Header {
+	trailer := http.Header{}
+	for _, name := range h[trailerHeader] {
+		trailer[http.CanonicalHeaderKey(name)] = nil
+	}
+	delete(h, trailerHeader)
+	return trailer
+}
+
+func encodeRequest(r *contract.Request, traceParent string, now time.Time) *wire.RequestHead {
+	head := &wire.RequestHead{
+		Id: r.ID, Caller: r.Caller, Method: r.Method, Uri: r.URI, Host: r.Host,
+		Headers: encodeRequestHeaders(r), Route: r.Route, Service: r.Service,
+		Idempotent: r.Idempotent, Priority: encodePriority(r.Priority),
+		Key: r.Key, KeyMinted: r.KeyMinted, BodyDigest: r.Digest,
+		BudgetMicros: r.Remaining(now).Microseconds(),
+		Attempt:      uint32(r.Attempt), Hops: uint32(r.Hops),
+		TraceParent:      traceParent,
+		Config:           EncodeVersion(r.Config),
+		HostListRevision: r.HostListRevision,
+		ContentLength:    r.ContentLength,
+		Fingerprint:      r.Fingerprint,
+	}
+	if !r.KeyTime.IsZero() {
+		head.KeyMillis = r.KeyTime.UnixMilli()
+	}
+	for _, id := range r.Fences {
+		head.FencedHosts = append(head.FencedHosts, string(id))
+	}
+	return head
+}
+
+func decodeRequest(head *wire.RequestHead, now time.Time) *contract.Request {
+	r := &contract.Request{
+		ID: head.GetId(), Caller: head.GetCaller(), Method: head.GetMethod(),
+		URI: head.GetUri(), Host: head.GetHost(), Header: decodeHeaders(head.GetHeaders()),
+		Route: head.GetRoute(), Service: head.GetService(), Idempotent: head.GetIdempotent(),
+		Priority: decodePriority(head.GetPriority()), Key: head.GetKey(),
+		KeyMinted: head.GetKeyMinted(), Digest: head.GetBodyDigest(),
+		Deadline: now.Add(time.Duration(head.GetBudgetMicros()) * time.Microsecond),
+		Attempt:  int(head.GetAttempt()), Hops: int(head.GetHops()),
+		Config:           DecodeVersion(head.GetConfig()),
+		HostListRevision: head.GetHostListRevision(),
+		Fingerprint:      head.GetFingerprint(),
+		ContentLength:    head.GetContentLength(),
+	}
+	r.Trailer = takeTrailerNames(r.Header)
+	if ms := head.GetKeyMillis(); ms != 0 {
+		r.KeyTime = time.UnixMilli(ms)
+	}
+	for _, id := range head.GetFencedHosts() {
+		r.Fences = append(r.Fences, host.ID(id))
+	}
+	return r
+}
+
+// EncodeVersion returns the wire form of a configuration version.
+func EncodeVersion(v config.Version) *wire.ConfigVersion {
+	return &wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision}
+}
+
+// DecodeVersion returns a configuration version from its wire form.
+func DecodeVersion(v *wire.ConfigVersion) config.Version {
+	return config.Version{Epoch: v.GetEpoch(), Revision: v.GetRevision()}
+}
+
+func encodeRefusal(e *verdict.Error, v config.Version) *wire.Refusal {
+	refusal := &wire.Refusal{
+		Verdict: uint32(e.Verdict), Reason: uint32(e.Reason),
+		RetryAfterMicros: e.RetryAfter.Microseconds(), Fenced: e.Fenced,
+		HostListRevision: e.HostListRevision, Config: EncodeVersion(v),
+	}
+	if e.Cause != nil {
+		refusal.Detail = e.Cause.Error()
+	}
+	return refusal
+}
+
+func decodeRefusal(r *wire.Refusal) *verdict.Error {
+	e := &verdict.Error{
+		Verdict:          verdict.Verdict(r.GetVerdict()),
+		Reason:           verdict.Reason(r.GetReason()),
+		RetryAfter:       time.Duration(r.GetRetryAfterMicros()) * time.Microsecond,
+		Fenced:           r.GetFenced(),
+		HostListRevision: r.GetHostListRevision(),
+	}
+	if e.Verdict > verdict.Ran {
+		e.Verdict = verdict.MayHaveRun
+	}
+	if detail := r.GetDetail(); detail != "" {
+		e.Cause = RemoteError(detail)
+	}
+	return e
+}
+
+// RemoteError is the text of an error on another node.
+type RemoteError string
+
+// Error returns the text.
+func (e RemoteError) Error() string {
+	return string(e)
+}
--- /dev/null
+++ b/internal/exchange/server.go
@@ -0,0 +1,154 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.opentelemetry.io/otel/propagation"
+
+	"boragefall/internal/config"
+	"boragefall/internal/contract"
+	"boragefall/internal/link"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+// Runner runs requests at the last hop. Its errors are *verdict.Error.
+type Runner interface {
+	Run(ctx context.Context, r *contract.Request) (*contract.Answer, error)
+}
+
+// Server answers the requests of other nodes.
+type Server struct {
+	runner     Runner
+	version    func() config.Version
+	logger     *log.Logger
+	propagator propagation.TraceContext
+}
+
+// NewServer returns a server that hands requests to a runner. version returns
+// the configuration version in force, which refusals carry.
+func NewServer(runner Runner, version func() config.Version, logger *log.Logger) *Server {
+	return &Server{runner: runner, version: version, logger: logger}
+}
+
+// Serve answers one request. It returns when the exchange is over.
+func (s *Server) Serve(ctx context.Context, head *wire.RequestHead, stream *link.Stream) {
+	r := decodeRequest(head, time.Now())
+	ctx = s.propagator.Extract(ctx, propagation.MapCarrier{traceParentHeader: head.GetTraceParent()})
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	body := newRequestBody(stream, r)
+	r.Body = body
+	watch := watchPeer(stream, body, cancel)
+	defer watch.stop()
+	answer, err := s.runner.Run(ctx, r)
+	if err != nil {
+		s.refuse(stream, r, err)
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	s.answer(ctx, stream, r, answer)
+}
+
+func (s *Server) refuse(stream *link.Stream, r *contract.Request, err error) {
+	head := &wire.AnswerHead{Id: r.ID, Refused: encodeRefusal(verdict.Of(err), s.version())}
+	if stream.Send(head) == nil {
+		_ = stream.Flush()
+	}
+}
+
+func (s *Server) answer(ctx context.Context, stream *link.Stream, r *contract.Request, a *contract.Answer) {
+	release := context.AfterFunc(ctx, stream.Abort)
+	defer release()
+	head := &wire.AnswerHead{
+		Id:            r.ID,
+		Status:        uint32(a.Status),
+		Headers:       encodeHeaders(a.Header),
+		Load:          encodeLoad(a.Load),
+		ContentLength: a.ContentLength,
+	}
+	if stream.Send(head) != nil {
+		return
+	}
+	err := sendBody(stream, a.Body, a.ContentLength, a.Trailer)
+	if errors.Is(err, ErrCut) {
+		// The stream closes without a last chunk, so the entry sees the cut.
+		s.logger.Warn().Str("part", "exchange").Str("request", r.ID).Err(err).Msg("answer cut")
+	}
+}
+
+// requestBody is the body of a request at the gate. It may be closed while a
+// read is blocked.
+type requestBody struct {
+	mu     sync.Mutex
+	reader *bodyReader
+	closed bool
+	ended  chan struct{}
+}
+
+func newRequestBody(stream *link.Stream, r *contract.Request) *requestBody {
+	b := &requestBody{ended: make(chan struct{})}
+	b.reader = &bodyReader{
+		stream:  stream,
+		trailer: r.Trailer,
+		length:  r.ContentLength,
+		onEnd:   func() { close(b.ended) },
+	}
+	return b
+}
+
+// Read reads the body.
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	return b.reader.Read(p)
+}
+
+func (b *requestBody) finish() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+}
+
+// peerWatch cancels a request once the peer closes its stream, which it does
+// before the answer only when its caller left.
+type peerWatch struct {
+	stream *link.Stream
+	body   *requestBody
+	quit   chan struct{}
+	done   chan struct{}
+}
+
+func watchPeer(stream *link.Stream, body *requestBody, cancel context.CancelFunc) *peerWatch {
+	w := &peerWatch{stream: stream, body: body, quit: make(chan struct{}), done: make(chan struct{})}
+	go w.run(cancel)
+	return w
+}
+
+func (w *peerWatch) run(cancel context.CancelFunc) {
+	defer close(w.done)
+	select {
+	case <-w.body.ended:
+	case <-w.quit:
+		return
+	}
+	_, _ = io.Copy(io.Discard, w.stream)
+	cancel()
+}
+
+// stop ends the watch and every read, so that the stream's buffers are free.
+func (w *peerWatch) stop() {
+	close(w.quit)
+	w.stream.AbortRead()
+	<-w.done
+	w.body.finish()
+}
--- /dev/null
+++ b/internal/link/dialer.go
@@ -0,0 +1,162 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/wire"
+)
+
+// Dialer keeps the outgoing links of one class: one session a peer address,
+// made on demand, closed when idle, redialled with decorrelated back-off.
+type Dialer struct {
+	cfg     Config
+	class   Class
+	self    Identity
+	counter *Counter
+
+	mu    sync.Mutex
+	peers map[string]*outgoing
+}
+
+// NewDialer returns a dialer for one class of traffic.
+func NewDialer(cfg Config, class Class, self Identity, counter *Counter) *Dialer {
+	return &Dialer{
+		cfg:     cfg.WithDefaults(),
+		class:   class,
+		self:    self,
+		counter: counter,
+		peers:   map[string]*outgoing{},
+	}
+}
+
+// Open opens a stream to a peer and sends its opening with the first flush. An
+// error wraps ErrUnreachable, and then no byte of the opening was sent.
+func (d *Dialer) Open(ctx context.Context, address string, opening *wire.Opening) (*Stream, error) {
+	peer := d.peer(address)
+	session, err := peer.session(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		peer.drop(session)
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	stream := newStream(conn)
+	stream.Bind(ctx)
+	if err := stream.Send(opening); err != nil {
+		stream.Close()
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	return stream, nil
+}
+
+func (d *Dialer) peer(address string) *outgoing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peer, ok := d.peers[address]
+	if !ok {
+		peer = &outgoing{address: address}
+		d.peers[address] = peer
+	}
+	return peer
+}
+
+// CloseIdle closes links that have carried no stream for the idle timeout and
+// forgets peers that were not used for as long. Call it every few seconds.
+func (d *Dialer) CloseIdle(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, peer := range d.peers {
+		if peer.closeIfIdle(now, d.cfg.IdleTimeout) {
+			delete(d.peers, address)
+		}
+	}
+}
+
+// Links returns the number of open links.
+func (d *Dialer) Links() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	open := 0
+	for _, peer := range d.peers {
+		if peer.live.Load() != nil {
+			open++
+		}
+	}
+	return open
+}
+
+// Close closes all links.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, peer := range d.peers {
+		if session := peer.live.Swap(nil); session != nil {
+			_ = session.Close()
+		}
+	}
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (*yamux.Session, error) {
+	netDialer := net.Dialer{Timeout: d.cfg.DialTimeout}
+	conn, err := netDialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: conn, counter: d.counter, class: d.class}
+	if _, err := counted.Write([]byte{byte(d.class)}); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	session, err := yamux.Client(counted, d.cfg.yamux())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if err := d.greet(session); err != nil {
+		_ = session.Close()
+		return nil, err
+	}
+	return session, nil
+}
+
+func (d *Dialer) greet(session *yamux.Session) error {
+	conn, err := session.OpenStream()
+	if err != nil {
+		return err
+	}
+	stream := newStream(conn)
+	defer stream.Close()
+	_ = conn.SetDeadline(time.Now().Add(d.cfg.DialTimeout))
+	opening := &wire.Opening{Kind: &wire.Opening_Hello{Hello: d.self.hello()}}
+	if err := stream.Send(opening); err != nil {
+		return err
+	}
+	if err := stream.Flush(); err != nil {
+		return err
+	}
+	answer := &wire.Hello{}
+	if err := stream.Receive(answer); err != nil {
+		return err
+	}
+	if answer.GetProtocol() == 0 {
+		return ErrProtocol
+	}
+	return nil
+}
+
+// decorrelated returns the next wait after a failure: random between the base
+// and three times the last wait, capped (the "decorrelated jitter" back-off).
+func decorrelated(base, last, limit time.Duration) time.Duration {
+	top := max(3*last, base+1)
+	wait := base + time.Duration(rand.Int64N(int64(top-base)+1))
+	return min(wait, limit)
+}
--- /dev/null
+++ b/internal/link/listener.go
@@ -0,0 +1,172 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+
+	"boragefall/internal/wire"
+)
+
+// Handler serves the streams that peers open. It must return once it is done
+// with the stream; the listener closes it.
+type Handler interface {
+	ServeStream(ctx context.Context, class Class, opening *wire.Opening, stream *Stream)
+}
+
+// Listener takes incoming links.
+type Listener struct {
+	cfg      Config
+	self     Identity
+	counter  *Counter
+	handler  Handler
+	logger   *log.Logger
+	listener net.Listener
+	accepts  *rate.Limiter
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	closed   bool
+	work     sync.WaitGroup
+}
+
+// NewListener wraps a TCP listener.
+func NewListener(cfg Config, self Identity, counter *Counter, listener net.Listener, handler Handler, logger *log.Logger) *Listener {
+	cfg = cfg.WithDefaults()
+	return &Listener{
+		cfg:      cfg,
+		self:     self,
+		counter:  counter,
+		handler:  handler,
+		logger:   logger,
+		listener: listener,
+		accepts:  rate.NewLimiter(rate.Limit(cfg.AcceptsPerSecond), cfg.AcceptBurst),
+		sessions: map[*yamux.Session]struct{}{},
+	}
+}
+
+// Address returns the listening address.
+func (l *Listener) Address() string {
+	return l.listener.Addr().String()
+}
+
+// Serve takes links until the context ends or the listener closes. The rate
+// of accepts is capped, since herds reconnect at once.
+func (l *Listener) Serve(ctx context.Context) {
+	for {
+		if err := l.accepts.Wait(ctx); err != nil {
+			return
+		}
+		conn, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.logger.Warn().Str("part", "link").Err(err).Msg("accept failed")
+			time.Sleep(l.cfg.RedialBase)
+			continue
+		}
+		l.work.Add(1)
+		go l.serveConn(ctx, conn)
+	}
+}
+
+func (l *Listener) serveConn(ctx context.Context, conn net.Conn) {
+	defer l.work.Done()
+	session, class, err := l.handshake(conn)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	if !l.track(session) {
+		_ = session.Close()
+		return
+	}
+	defer l.untrack(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		l.work.Add(1)
+		go l.serveStream(ctx, session, class, stream)
+	}
+}
+
+func (l *Listener) handshake(conn net.Conn) (*yamux.Session, Class, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(l.cfg.DialTimeout))
+	var first [1]byte
+	if _, err := conn.Read(first[:]); err != nil {
+		return nil, 0, err
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	class := Class(first[0])
+	if class >= classCount {
+		return nil, 0, ErrMalformed
+	}
+	counted := &countedConn{Conn: conn, counter: l.counter, class: class}
+	session, err := yamux.Server(counted, l.cfg.yamux())
+	return session, class, err
+}
+
+func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, class Class, conn *yamux.Stream) {
+	defer l.work.Done()
+	stream := newStream(conn)
+	defer stream.Close()
+	opening := &wire.Opening{}
+	if err := stream.Receive(opening); err != nil {
+		l.refuseMalformed(session, err)
+		return
+	}
+	if hello := opening.GetHello(); hello != nil {
+		_ = stream.Send(l.self.hello())
+		_ = stream.Flush()
+		return
+	}
+	l.handler.ServeStream(ctx, class, opening, stream)
+}
+
+// refuseMalformed closes the link of a peer that breaks the protocol; other
+// links are untouched.
+func (l *Listener) refuseMalformed(session *yamux.Session, err error) {
+	if !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrFrameTooLong) {
+		return
+	}
+	l.logger.Warn().Str("part", "link").Str("peer", session.RemoteAddr().String()).Err(err).Msg("malformed message, closing link")
+	_ = session.Close()
+}
+
+func (l *Listener) track(session *yamux.Session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.sessions[session] = struct{}{}
+	return true
+}
+
+func (l *Listener) untrack(session *yamux.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sessions, session)
+	_ = session.Close()
+}
+
+// Close stops accepting, closes all incoming links and waits for handlers.
+func (l *Listener) Close() {
+	_ = l.listener.Close()
+	l.mu.Lock()
+	l.closed = true
+	for session := range l.sessions {
+		_ = session.Close()
+	}
+	l.mu.Unlock()
+	l.work.Wait()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,189 @@
+// Package settings reads a node's own settings: a JSON file, over it the
+// environment (BORAGEFALL_...), over it flags. All three use the same names.
+package settings
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+)
+
+// EnvPrefix precedes the settings' names in the environment.
+const EnvPrefix = "BORAGEFALL"
+
+// ErrBadSetting is wrapped by every error of this package.
+var ErrBadSetting = eris.New("bad setting")
+
+// Settings are what one node is told at its start.
+type Settings struct {
+	// Host names the host in the platform's host list. Required.
+	Host string
+	// DataCentre and Region say where the host stands. Required.
+	DataCentre, Region string
+	// Service is the service of the backend server beside the node. Required.
+	Service string
+	// Backend is the backend server's address, IP:port. Required.
+	Backend string
+	// LinkListen is where other nodes connect, IP:port. Required.
+	LinkListen string
+	// CallersListen is where callers connect, IP:port. Required.
+	CallersListen string
+	// AdminListen is where operators connect, IP:port. Required.
+	AdminListen string
+	// Platform is the base URL of the configuration service. Required.
+	Platform string
+	// Peers are link addresses of other nodes, asked first at the start.
+	Peers []string
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string
+	// TraceExporter is off, stdout or otlp. Default off.
+	TraceExporter string
+	// TraceEndpoint is the collector's URL for otlp. Default: the library's.
+	TraceEndpoint string
+	// TraceRatio is the sampled share of traces, 0 to 1. Default 0.01.
+	TraceRatio float64
+	// DrainLimit bounds a planned stop. Default 30 s.
+	DrainLimit time.Duration
+	// ControlBytesPerSecond bounds control traffic sent. Default 7,000.
+	ControlBytesPerSecond int
+}
+
+const (
+	defaultTraceRatio   = 0.01
+	defaultDrainLimit   = 30 * time.Second
+	defaultControlBytes = 7000
+)
+
+// Read parses args, the environment and the settings file that args name.
+func Read(name string, args []string) (Settings, error) {
+	s := Settings{}
+	flags := s.FlagSet(name)
+	flags.SetOutput(os.Stderr)
+	err := ff.Parse(flags, args,
+		ff.WithConfigFileFlag("settings"),
+		ff.WithConfigFileParser(ff.JSONParser),
+		ff.WithEnvVarPrefix(EnvPrefix),
+	)
+	if errors.Is(err, flag.ErrHelp) {
+		return s, err
+	}
+	if err != nil {
+		return s, eris.Wrap(ErrBadSetting, err.Error())
+	}
+	return s, s.Check()
+}
+
+// FlagSet returns flags that fill the settings.
+func (s *Settings) FlagSet(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.String("settings", "", "JSON `file` with these settings, without the dashes")
+	flags.StringVar(&s.Host, "host", "", "`name` of this host in the host list")
+	flags.StringVar(&s.DataCentre, "data-centre", "", "`name` of this host's data centre")
+	flags.StringVar(&s.Region, "region", "", "`name` of this host's region")
+	flags.StringVar(&s.Service, "service", "", "`name` of the service of the backend server beside this node")
+	flags.StringVar(&s.Backend, "backend", "", "`IP:port` of the backend server beside this node")
+	flags.StringVar(&s.LinkListen, "link-listen", "", "`IP:port` where other nodes connect")
+	flags.StringVar(&s.CallersListen, "callers-listen", "", "`IP:port` where callers connect")
+	flags.StringVar(&s.AdminListen, "admin-listen", "", "`IP:port` where operators connect")
+	flags.StringVar(&s.Platform, "platform", "", "base `URL` of the configuration service")
+	flags.Func("peer", "`IP:port` of another node's link, may be given more than once", func(text string) error {
+		s.Peers = append(s.Peers, text)
+		return nil
+	})
+	flags.StringVar(&s.LogLevel, "log-level", "info", "`level`: debug, info, warn or error")
+	flags.StringVar(&s.TraceExporter, "trace-exporter", "off", "where spans go: off, stdout or otlp")
+	flags.StringVar(&s.TraceEndpoint, "trace-endpoint", "", "`URL` of the OTLP collector")
+	flags.Float64Var(&s.TraceRatio, "trace-ratio", defaultTraceRatio, "sampled `share` of traces, 0 to 1")
+	flags.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "longest `time` of a planned stop")
+	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
+	return flags
+}
+
+// Check returns an error that names the first bad field, what it holds and
+// what it takes.
+func (s *Settings) Check() error {
+	checks := []error{
+		checkName("host", s.Host),
+		checkName("data-centre", s.DataCentre),
+		checkName("region", s.Region),
+		checkName("service", s.Service),
+		checkAddress("backend", s.Backend),
+		checkAddress("link-listen", s.LinkListen),
+		checkAddress("callers-listen", s.CallersListen),
+		checkAddress("admin-listen", s.AdminListen),
+		checkURL("platform", s.Platform),
+		checkOneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
+		checkOneOf("trace-exporter", s.TraceExporter, "off", "stdout", "otlp"),
+		checkRange("trace-ratio", s.TraceRatio, 0, 1),
+		checkRange("drain-limit", s.DrainLimit.Seconds(), 0, 600),
+		checkRange("control-bytes-per-second", float64(s.ControlBytesPerSecond), 500, 1e9),
+	}
+	for _, peer := range s.Peers {
+		checks = append(checks, checkAddress("peer", peer))
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func bad(field, holds, takes string) error {
+	return eris.Wrapf(ErrBadSetting, "%s holds %s; it takes %s", field, holds, takes)
+}
+
+func checkName(field, value string) error {
+	if value == "" || len(value) > 128 || strings.ContainsAny(value, " \t\n/") {
+		return bad(field, strconv.Quote(value), "a name of 1 to 128 characters without spaces and slashes")
+	}
+	return nil
+}
+
+func checkAddress(field, value string) error {
+	hostText, port, err := net.SplitHostPort(value)
+	if err == nil {
+		_, err = netip.ParseAddr(hostText)
+	}
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		return bad(field, strconv.Quote(value), "an IP number and a port, such as 127.0.0.1:7000")
+	}
+	return nil
+}
+
+func checkURL(field, value string) error {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		return bad(field, strconv.Quote(value), "a URL, such as http://127.0.0.1:5000")
+	}
+	return nil
+}
+
+func checkOneOf(field, value string, allowed ...string) error {
+	for _, a := range allowed {
+		if value == a {
+			return nil
+		}
+	}
+	return bad(field, strconv.Quote(value), "one of "+strings.Join(allowed, ", "))
+}
+
+func checkRange(field string, value, low, high float64) error {
+	if value < low || value > high || value != value {
+		return bad(field, fmt.Sprint(value), fmt.Sprintf("a value from %v to %v", low, high))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const good = `{
+	"host": "esbjerg-1", "data-centre": "esbjerg", "region": "denmark-west",
+	"service": "status", "backend": "127.0.0.1:6001",
+	"link-listen": "127.0.0.1:7001", "callers-listen": "127.0.0.1:8001",
+	"admin-listen": "127.0.0.1:9001", "platform": "http://127.0.0.1:5000",
+	"peer": ["127.0.0.1:7002", "127.0.0.1:7003"]
+}`
+
+func write(text string) string {
+	path := filepath.Join(GinkgoT().TempDir(), "node.json")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+var _ = Describe("Read", func() {
+	It("reads the file, with flags over it", func() {
+		s, err := settings.Read("node", []string{"--settings", write(good), "--service", "ordering"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Service).To(Equal("ordering"))
+		Expect(s.Peers).To(Equal([]string{"127.0.0.1:7002", "127.0.0.1:7003"}))
+		Expect(s.DrainLimit.String()).To(Equal("30s"))
+	})
+
+	DescribeTable("names a bad field",
+		func(args []string, field string) {
+			_, err := settings.Read("node", append([]string{"--settings", write(good)}, args...))
+			Expect(errors.Is(err, settings.ErrBadSetting)).To(BeTrue())
+			Expect(err.Error()).To(ContainSubstring(field))
+		},
+		Entry("a host name in place of an IP number", []string{"--backend", "localhost:1"}, "backend"),
+		Entry("an unknown level", []string{"--log-level", "loud"}, "log-level"),
+		Entry("a ratio over 1", []string{"--trace-ratio", "2"}, "trace-ratio"),
+		Entry("a bad peer", []string{"--peer", "x"}, "peer"),
+	)
+
+	It("rejects an unknown field of the file", func() {
+		_, err := settings.Read("node", []string{"--settings", write(`{"hots": "a"}`)})
+		Expect(errors.Is(err, settings.ErrBadSetting)).To(BeTrue())
+		Expect(err.Error()).To(ContainSubstring("hots"))
+	})
+})
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,80 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Metrics are a node's metrics, in a registry of its own.
+type Metrics struct {
+	Registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	added    prometheus.Histogram
+	attempts *prometheus.CounterVec
+}
+
+const namespace = "boragefall"
+
+// NewMetrics returns metrics whose series carry the host's name.
+func NewMetrics(host string) *Metrics {
+	registry := prometheus.NewRegistry()
+	labelled := prometheus.WrapRegistererWith(prometheus.Labels{"host": host}, registry)
+	m := &Metrics{
+		Registry: registry,
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answers_total",
+			Help: "Answers given to callers, by route and status class.",
+		}, []string{"route", "class"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refusals_total",
+			Help: "Failed requests told to callers, by verdict and reason.",
+		}, []string{"verdict", "reason"}),
+		added: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds",
+			Help:    "Time from a request's arrival to its answer's end.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total",
+			Help: "Attempts made for callers' requests, by result.",
+		}, []string{"result"}),
+	}
+	labelled.MustRegister(m.answers, m.refusals, m.added, m.attempts,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+var statusClasses = [...]string{"other", "1xx", "2xx", "3xx", "4xx", "5xx"}
+
+// Answered counts an answer given to a caller.
+func (m *Metrics) Answered(route string, status int, took time.Duration) {
+	class := status / 100
+	if class < 0 || class >= len(statusClasses) {
+		class = 0
+	}
+	m.answers.WithLabelValues(route, statusClasses[class]).Inc()
+	m.added.Observe(took.Seconds())
+}
+
+// Refused counts a failed request told to a caller.
+func (m *Metrics) Refused(verdictText, reason string) {
+	m.refusals.WithLabelValues(verdictText, reason).Inc()
+}
+
+// Attempted counts an attempt by its result.
+func (m *Metrics) Attempted(result string) {
+	m.attempts.WithLabelValues(result).Inc()
+}
+
+// Gauge registers a gauge that is read when it is scraped.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter registers a counter that is read when it is scraped.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
