--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -14,8 +14,7 @@
 // pure: the same bytes give the same result in every process. A report with
 // problems comes with a nil snapshot.
 func Build(revision uint64, files []File) (*Snapshot, *Report) {
-	sorted := slices.Clone(files)
-	slices.SortFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
+	sorted := sortedCopy(files)
 	report := &Report{}
 	merged := mergeFiles(sorted, report)
 	if !report.OK() {
@@ -28,6 +27,7 @@
 		report.add(Problem{What: err.Error()})
 		return nil, report
 	}
+	document.applyDefaults()
 	return &Snapshot{
 		Version:  Version{Epoch: document.Epoch, Revision: revision},
 		Hash:     ManifestOf(sorted).Hash(),
@@ -36,6 +36,17 @@
 	}, report
 }
 
+// sortedCopy returns files in byte order of their names. It shares no memory
+// with files.
+func sortedCopy(files []File) []File {
+	sorted := make([]File, 0, len(files))
+	for _, f := range files {
+		sorted = append(sorted, File{Name: f.Name, Data: bytes.Clone(f.Data)})
+	}
+	slices.SortStableFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
+	return sorted
+}
+
 func mergeFiles(sorted []File, report *Report) []byte {
 	merged := []byte("{}")
 	for _, f := range sorted {
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"net/textproto"
+	"time"
+
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+)
+
+// Defaults of values that a folder does not state.
+const (
+	DefaultColdLimit       = 1                // requests at once
+	DefaultQueuePerSlot    = 2                // waiting requests per slot
+	DefaultWarmPerSlot     = 20               // good answers per slot
+	DefaultResendWindow    = 20 * time.Second // after a restart
+	DefaultTimeout         = 10 * time.Second // of a whole request
+	DefaultKeyPolicy       = KeyOptional
+	DefaultPriority        = PriorityNormal
+	DefaultRetries         = 2 // attempts after the first
+	DefaultCallerWeight    = 1 // shares
+	minQueueAndWarmAnswers = 1
+)
+
+// applyDefaults fills every value that the folder leaves out and writes header
+// names in their canonical form, so that no reader interprets a zero. Applying
+// it twice changes nothing more.
+func (d *Document) applyDefaults() {
+	d.makeMaps()
+	for name, s := range d.Services {
+		d.Services[name] = s.withDefaults()
+	}
+	for name, r := range d.Routes {
+		d.Routes[name] = r.withDefaults()
+	}
+	for name, c := range d.Callers {
+		d.Callers[name] = c.withDefaults()
+	}
+}
+
+func (d *Document) makeMaps() {
+	if d.Services == nil {
+		d.Services = map[string]Service{}
+	}
+	if d.Routes == nil {
+		d.Routes = map[string]Route{}
+	}
+	if d.Callers == nil {
+		d.Callers = map[string]Caller{}
+	}
+	if d.DataCentres == nil {
+		d.DataCentres = map[datacentre.ID]DataCentre{}
+	}
+	if d.Hosts == nil {
+		d.Hosts = map[host.ID]HostMark{}
+	}
+}
+
+func (s Service) withDefaults() Service {
+	s.ColdLimit = orDefault(s.ColdLimit, DefaultColdLimit)
+	s.QueueLimit = orDefault(s.QueueLimit, max(minQueueAndWarmAnswers, DefaultQueuePerSlot*s.Slots))
+	s.WarmAfter = orDefault(s.WarmAfter, max(minQueueAndWarmAnswers, DefaultWarmPerSlot*s.Slots))
+	s.ResendWindow = orDefault(s.ResendWindow, Duration(DefaultResendWindow))
+	return s
+}
+
+func (r Route) withDefaults() Route {
+	r.Timeout = orDefault(r.Timeout, Duration(DefaultTimeout))
+	r.Key = orDefault(r.Key, DefaultKeyPolicy)
+	r.Priority = orDefault(r.Priority, DefaultPriority)
+	if r.Retries == nil {
+		retries := DefaultRetries
+		r.Retries = &retries
+	}
+	r.Match.Headers = canonicalHeaders(r.Match.Headers)
+	return r
+}
+
+func (c Caller) withDefaults() Caller {
+	c.Weight = orDefault(c.Weight, DefaultCallerWeight)
+	return c
+}
+
+func canonicalHeaders(headers map[string]string) map[string]string {
+	if len(headers) == 0 {
+		return nil
+	}
+	canonical := make(map[string]string, len(headers))
+	for name, value := range headers {
+		canonical[textproto.CanonicalMIMEHeaderKey(name)] = value
+	}
+	return canonical
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
