--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -3,30 +3,22 @@
 import (
 	"bytes"
 	"cmp"
-	"encoding/json"
+	"fmt"
+	"reflect"
 	"slices"
-
-	jsonpatch "github.com/evanphx/json-patch/v5"
 )
 
-// Build merges files in byte order of their names, checks the result and
-// returns the snapshot of the version (epoch of the document, revision). It is
-// pure: the same bytes give the same result in every process. A report with
-// problems comes with a nil snapshot.
+// Build merges files in byte order of their names by RFC 7396, checks the
+// result and returns the snapshot of the version (epoch of the document,
+// revision). It is pure: the same files give the same result in every process,
+// whatever their order. A report with problems comes with a nil snapshot; it
+// holds all problems of the folder.
 func Build(revision uint64, files []File) (*Snapshot, *Report) {
 	sorted := sortedCopy(files)
-	report := &Report{}
-	merged := mergeFiles(sorted, report)
+	document, _, report := compile(sorted)
 	if !report.OK() {
 		return nil, report
 	}
-	document := &Document{}
-	decoder := json.NewDecoder(bytes.NewReader(merged))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(document); err != nil {
-		report.add(Problem{What: err.Error()})
-		return nil, report
-	}
 	document.applyDefaults()
 	return &Snapshot{
 		Version:  Version{Epoch: document.Epoch, Revision: revision},
@@ -36,26 +28,97 @@
 	}, report
 }
 
-// sortedCopy returns files in byte order of their names. It shares no memory
-// with files.
-func sortedCopy(files []File) []File {
-	sorted := make([]File, 0, len(files))
-	for _, f := range files {
-		sorted = append(sorted, File{Name: f.Name, Data: bytes.Clone(f.Data)})
+// Merge returns the merged document as compact JSON, with member names in byte
+// order and no defaults. It is nil if the report has problems.
+func Merge(files []File) ([]byte, *Report) {
+	_, merged, report := compile(sortedCopy(files))
+	if !report.OK() {
+		return nil, report
 	}
-	slices.SortStableFunc(sorted, func(a, b File) int { return cmp.Compare(a.Name, b.Name) })
-	return sorted
+	return []byte(merged.json()), report
+}
+
+// compile parses, merges, decodes and checks sorted files. The document has no
+// defaults yet; it means nothing if the report has problems.
+func compile(sorted []File) (*Document, *node, *Report) {
+	report := &Report{Problems: []Problem{}}
+	document := &Document{}
+	if !checkFolder(sorted, report) {
+		return document, newObject(""), report
+	}
+	merged, whole := mergeFiles(sorted, report)
+	typeProblems := decodeDocument(merged, document)
+	report.Problems = append(report.Problems, typeProblems...)
+	c := &checker{document: document, merged: merged, whole: whole, mistyped: pointersOf(typeProblems), report: report}
+	c.check()
+	report.sort()
+	return document, merged, report
+}
+
+func decodeDocument(merged *node, document *Document) []Problem {
+	report := &Report{}
+	decode(merged, reflect.ValueOf(document).Elem(), "", report)
+	return report.Problems
 }
 
-func mergeFiles(sorted []File, report *Report) []byte {
-	merged := []byte("{}")
+func pointersOf(problems []Problem) map[string]bool {
+	pointers := make(map[string]bool, len(problems))
+	for _, p := range problems {
+		pointers[p.Pointer] = true
+	}
+	return pointers
+}
+
+// checkFolder reports whether the folder is worth parsing.
+func checkFolder(sorted []File, report *Report) bool {
+	if len(sorted) == 0 {
+		report.add(Problem{What: "no configuration files", Hint: "to clear a configuration on purpose, keep one file that holds {}"})
+		return false
+	}
+	if len(sorted) > MaxFiles {
+		report.add(Problem{What: fmt.Sprintf("%d files, over the limit of %d", len(sorted), MaxFiles), Hint: "join small files"})
+		return false
+	}
+	total := 0
 	for _, f := range sorted {
-		next, err := jsonpatch.MergePatch(merged, f.Data)
-		if err != nil {
-			report.add(Problem{File: f.Name, What: err.Error()})
+		total += len(f.Data)
+	}
+	if total > MaxTotalBytes {
+		report.add(Problem{What: fmt.Sprintf("%d bytes in all, over the limit of %d", total, MaxTotalBytes)})
+		return false
+	}
+	return true
+}
+
+// mergeFiles returns the merged tree and whether every file is part of it.
+func mergeFiles(sorted []File, report *Report) (merged *node, whole bool) {
+	merged, whole = newObject(""), true
+	for i, f := range sorted {
+		if i > 0 && f.Name == sorted[i-1].Name {
+			report.add(Problem{File: f.Name, What: "two files have this name"})
+			continue
+		}
+		tree := parseFile(f, report)
+		if tree == nil {
+			whole = false
 			continue
 		}
-		merged = next
+		checkMembers(tree, reflect.TypeFor[Document](), "", report)
+		mergeInto(merged, tree)
+	}
+	return merged, whole
+}
+
+// sortedCopy returns files in byte order of their names. It shares no memory
+// with files. Files with the same name are ordered by content, so that even
+// their report does not depend on the order of files.
+func sortedCopy(files []File) []File {
+	sorted := make([]File, 0, len(files))
+	for _, f := range files {
+		sorted = append(sorted, File{Name: f.Name, Data: bytes.Clone(f.Data)})
 	}
-	return merged
+	slices.SortFunc(sorted, func(a, b File) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), bytes.Compare(a.Data, b.Data))
+	})
+	return sorted
 }
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,132 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Patterns of the names in a document.
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hostIDPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+)
+
+// checker holds a decoded document, without defaults, to the rules.
+type checker struct {
+	document *Document
+	merged   *node
+	// whole is false if a file is missing from merged. Then nothing is said of
+	// values that may stand in that file.
+	whole bool
+	// mistyped holds the pointers of values that decode refused.
+	mistyped map[string]bool
+	report   *Report
+}
+
+func (c *checker) check() {
+	checkEach(c, "/services", c.document.Services, c.checkService)
+	checkEach(c, "/routes", c.document.Routes, c.checkRoute)
+	c.checkOverlaps()
+	checkEach(c, "/callers", c.document.Callers, c.checkCaller)
+	checkEach(c, "/dataCentres", c.document.DataCentres, c.checkDataCentre)
+	checkEach(c, "/hosts", c.document.Hosts, c.checkHost)
+}
+
+// checkEach runs check on each element whose type was right, in order.
+func checkEach[K ~string, V any](c *checker, pointer string, elements map[K]V, check func(at, name string, element V)) {
+	for _, name := range sortedKeys(elements) {
+		at := join(pointer, string(name))
+		if c.fits(at) {
+			check(at, string(name), elements[name])
+		}
+	}
+}
+
+func (c *checker) checkCaller(at, name string, caller Caller) {
+	c.checkName(at, name)
+	c.checkRange(join(at, "weight"), caller.Weight, 1, MaxCallerWeight)
+}
+
+// checkHost checks the form of a host's name alone: which hosts there are is
+// for the platform to say.
+func (c *checker) checkHost(at, name string, _ HostMark) {
+	if !hostIDPattern.MatchString(name) {
+		c.add(at, "bad host name", "use the name in the platform's host list: letters, digits, '.', '_', ':' and '-', at most 128")
+	}
+}
+
+func (c *checker) checkDataCentre(at, name string, d DataCentre) {
+	c.checkName(at, name)
+	region := join(at, "region")
+	hint := "state the region; if this is a mark, look for a misspelt data centre"
+	if c.required(region, hint) && c.fits(region) {
+		c.checkName(region, string(d.Region))
+	}
+}
+
+// add reports a problem of the file that set, made or removed the value.
+func (c *checker) add(pointer, what, hint string) {
+	_, deepest := c.merged.find(pointer)
+	c.report.add(Problem{File: deepest.file, Pointer: pointer, What: what, Hint: hint})
+}
+
+// required reports a missing value. It returns whether the value may be
+// checked further.
+func (c *checker) required(pointer, hint string) bool {
+	if c.merged.has(pointer) {
+		return true
+	}
+	if c.whole {
+		c.add(pointer, "required, but "+c.absence(pointer), hint)
+	}
+	return false
+}
+
+// absence says why nothing stands at the pointer.
+func (c *checker) absence(pointer string) string {
+	if found, _ := c.merged.find(pointer); found != nil && found.kind == kindRemoved {
+		return "removed by " + found.file
+	}
+	return "not set by any file"
+}
+
+func (c *checker) checkName(pointer, name string) {
+	if !namePattern.MatchString(name) {
+		c.add(pointer, fmt.Sprintf("bad name %s", shorten(jsonText(name))),
+			"use lower-case letters, digits and '-' inside, at most 63")
+	}
+}
+
+// checkRange holds a value that a file states to its bounds. A value that no
+// file states takes its default.
+func (c *checker) checkRange(pointer string, value, low, high int) {
+	if c.fits(pointer) && (value < low || value > high) {
+		c.add(pointer, fmt.Sprintf("%d is not in %d to %d", value, low, high), "")
+	}
+}
+
+func (c *checker) checkDuration(pointer string, value, low, high Duration) {
+	if c.fits(pointer) && (value < low || value > high) {
+		c.add(pointer, fmt.Sprintf("%s is not in %s to %s", value.Std(), low.Std(), high.Std()), "")
+	}
+}
+
+func (c *checker) checkChoice(pointer, value string, choices ...string) {
+	if c.fits(pointer) && !slices.Contains(choices, value) {
+		c.add(pointer, fmt.Sprintf("unknown value %s", shorten(jsonText(value))), "use one of "+strings.Join(choices, ", "))
+	}
+}
+
+// fits reports whether a file states a value at the pointer whose type was
+// right, so that its bounds are worth checking.
+func (c *checker) fits(pointer string) bool {
+	return c.merged.has(pointer) && !c.mistyped[pointer]
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"net/textproto"
 	"time"
 
 	"boragefall/internal/datacentre"
@@ -10,21 +9,19 @@
 
 // Defaults of values that a folder does not state.
 const (
-	DefaultColdLimit       = 1                // requests at once
-	DefaultQueuePerSlot    = 2                // waiting requests per slot
-	DefaultWarmPerSlot     = 20               // good answers per slot
-	DefaultResendWindow    = 20 * time.Second // after a restart
-	DefaultTimeout         = 10 * time.Second // of a whole request
-	DefaultKeyPolicy       = KeyOptional
-	DefaultPriority        = PriorityNormal
-	DefaultRetries         = 2 // attempts after the first
-	DefaultCallerWeight    = 1 // shares
-	minQueueAndWarmAnswers = 1
+	DefaultColdLimit    = 1                // requests at once
+	DefaultQueuePerSlot = 2                // waiting requests per slot
+	DefaultWarmPerSlot  = 20               // good answers per slot
+	DefaultResendWindow = 20 * time.Second // after a restart
+	DefaultTimeout      = 10 * time.Second // of a whole request
+	DefaultKeyPolicy    = KeyOptional
+	DefaultPriority     = PriorityNormal
+	DefaultRetries      = 2 // attempts after the first
+	DefaultCallerWeight = 1 // shares
 )
 
-// applyDefaults fills every value that the folder leaves out and writes header
-// names in their canonical form, so that no reader interprets a zero. Applying
-// it twice changes nothing more.
+// applyDefaults fills every value that the folder leaves out, so that no reader
+// interprets a zero. Applying it twice changes nothing more.
 func (d *Document) applyDefaults() {
 	d.makeMaps()
 	for name, s := range d.Services {
@@ -58,8 +55,8 @@
 
 func (s Service) withDefaults() Service {
 	s.ColdLimit = orDefault(s.ColdLimit, DefaultColdLimit)
-	s.QueueLimit = orDefault(s.QueueLimit, max(minQueueAndWarmAnswers, DefaultQueuePerSlot*s.Slots))
-	s.WarmAfter = orDefault(s.WarmAfter, max(minQueueAndWarmAnswers, DefaultWarmPerSlot*s.Slots))
+	s.QueueLimit = orDefault(s.QueueLimit, DefaultQueuePerSlot*s.Slots)
+	s.WarmAfter = orDefault(s.WarmAfter, DefaultWarmPerSlot*s.Slots)
 	s.ResendWindow = orDefault(s.ResendWindow, Duration(DefaultResendWindow))
 	return s
 }
@@ -72,7 +69,6 @@
 		retries := DefaultRetries
 		r.Retries = &retries
 	}
-	r.Match.Headers = canonicalHeaders(r.Match.Headers)
 	return r
 }
 
@@ -81,17 +77,6 @@
 	return c
 }
 
-func canonicalHeaders(headers map[string]string) map[string]string {
-	if len(headers) == 0 {
-		return nil
-	}
-	canonical := make(map[string]string, len(headers))
-	for name, value := range headers {
-		canonical[textproto.CanonicalMIMEHeaderKey(name)] = value
-	}
-	return canonical
-}
-
 func orDefault[T comparable](value, fallback T) T {
 	var zero T
 	if value == zero {
--- /dev/null
+++ b/internal/config/document_tree.go
@@ -0,0 +1,49 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// treeOf returns a document, or a part of it, as a tree. Numbers, durations and
+// booleans are all there, empty texts, lists and maps are left out.
+func treeOf(value reflect.Value) *node {
+	t := value.Type()
+	switch {
+	case isScalar(t):
+		return &node{kind: kindScalar, text: jsonText(value.Interface())}
+	case t.Kind() == reflect.Slice:
+		array := &node{kind: kindArray}
+		for i := range value.Len() {
+			array.items = append(array.items, treeOf(value.Index(i)))
+		}
+		return array
+	case t.Kind() == reflect.Map:
+		object := newObject("")
+		for _, key := range value.MapKeys() {
+			object.members[fmt.Sprint(key.Interface())] = treeOf(value.MapIndex(key))
+		}
+		return object
+	default:
+		object := newObject("")
+		for _, field := range schemaFields(t) {
+			if member := value.Field(field.index); !isUnset(member) {
+				object.members[field.name] = treeOf(member)
+			}
+		}
+		return object
+	}
+}
+
+// isUnset reports whether a field says nothing. Zero numbers and false say
+// something.
+func isUnset(value reflect.Value) bool {
+	switch value.Kind() {
+	case reflect.String, reflect.Map, reflect.Slice:
+		return value.Len() == 0
+	case reflect.Pointer:
+		return value.IsNil()
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/config/export_test.go
@@ -0,0 +1,33 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// MergeTrees merges files that need not fit the schema.
+func MergeTrees(files []File) []byte {
+	merged, report := newObject(""), &Report{}
+	for _, f := range sortedCopy(files) {
+		if tree := parseFile(f, report); tree != nil {
+			mergeInto(merged, tree)
+		}
+	}
+	if !report.OK() {
+		panic(report.Error())
+	}
+	return []byte(merged.json())
+}
+
+// SplitPointer returns the names in a pointer.
+func SplitPointer(pointer string) []string {
+	names, _ := split(pointer)
+	return names
+}
+
+// NumberDecoder returns a decoder that keeps numbers as text.
+func NumberDecoder(data []byte) *json.Decoder {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	return decoder
+}
--- a/internal/config/folder.go
+++ b/internal/config/folder.go
@@ -12,10 +12,6 @@
 // fileSuffix marks the files of a folder that belong to the configuration.
 const fileSuffix = ".json"
 
-// MaxTotalBytes is the size in bytes that all files of a folder may have
-// together.
-const MaxTotalBytes = 1_000_000
-
 // ReadFolder returns the configuration files of a folder in byte order of
 // their names: all entries that end in .json, whatever the case of the suffix,
 // so that Build reports a bad name. Entries that start with a dot and entries
--- /dev/null
+++ b/internal/config/node.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+)
+
+// kind is the type of a JSON value.
+type kind uint8
+
+const (
+	kindScalar  kind = iota // a string, number or boolean
+	kindNull                // a null; in a merged tree only inside arrays
+	kindObject              //
+	kindArray               //
+	kindRemoved             // in a merged tree: a file removed the value here
+)
+
+// node is a JSON value that knows which file set it.
+type node struct {
+	kind    kind
+	members map[string]*node // of an object; removed ones of a removed object
+	items   []*node          // of an array
+	text    string           // JSON text of a scalar or null
+	file    string           // the file that set the value, or made the object
+	// overrode names the files whose values this one replaced, in merge order.
+	overrode []string
+}
+
+func newObject(file string) *node {
+	return &node{kind: kindObject, members: map[string]*node{}, file: file}
+}
+
+// names returns the members' names in byte order, without removed ones.
+func (n *node) names() []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(n.members)) {
+		if n.members[name].kind != kindRemoved {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// find returns the node at the pointer and the deepest node on the way to it.
+// The first is nil if nothing was ever set there.
+func (n *node) find(pointer string) (found, deepest *node) {
+	names, ok := split(pointer)
+	if !ok {
+		return nil, n
+	}
+	for _, name := range names {
+		next := n.child(name)
+		if next == nil {
+			return nil, n
+		}
+		n = next
+	}
+	return n, n
+}
+
+// child returns the member of an object, or the item of an array by its index.
+func (n *node) child(name string) *node {
+	if n.kind != kindArray {
+		return n.members[name]
+	}
+	i, err := strconv.Atoi(name)
+	if err != nil || i < 0 || i >= len(n.items) || strconv.Itoa(i) != name {
+		return nil
+	}
+	return n.items[i]
+}
+
+// has reports whether the merged document holds a value at the pointer.
+func (n *node) has(pointer string) bool {
+	found, _ := n.find(pointer)
+	return found != nil && found.kind != kindRemoved
+}
+
+// history returns the files that had a part in the value, in merge order,
+// which is the byte order of their names.
+func (n *node) history() []string {
+	files := map[string]struct{}{}
+	n.collectFiles(files)
+	if len(files) == 0 {
+		return nil
+	}
+	return sortedKeys(files)
+}
+
+func (n *node) collectFiles(files map[string]struct{}) {
+	if n == nil {
+		return
+	}
+	files[n.file] = struct{}{}
+	for _, file := range n.overrode {
+		files[file] = struct{}{}
+	}
+	for _, member := range n.members {
+		member.collectFiles(files)
+	}
+}
+
+// remove marks the value and all below it as removed by a file. What was
+// removed before keeps the file that removed it.
+func (n *node) remove(file string) {
+	if n.kind == kindRemoved {
+		return
+	}
+	history := n.history()
+	for _, member := range n.members {
+		member.remove(file)
+	}
+	n.kind, n.items, n.text = kindRemoved, nil, ""
+	n.file, n.overrode = file, history
+}
+
+// appendJSON writes the value as compact JSON with sorted member names.
+func (n *node) appendJSON(out *bytes.Buffer) {
+	switch n.kind {
+	case kindObject:
+		out.WriteByte('{')
+		for i, name := range n.names() {
+			if i > 0 {
+				out.WriteByte(',')
+			}
+			out.WriteString(jsonText(name))
+			out.WriteByte(':')
+			n.members[name].appendJSON(out)
+		}
+		out.WriteByte('}')
+	case kindArray:
+		out.WriteByte('[')
+		for i, item := range n.items {
+			if i > 0 {
+				out.WriteByte(',')
+			}
+			item.appendJSON(out)
+		}
+		out.WriteByte(']')
+	default:
+		out.WriteString(n.text)
+	}
+}
+
+// json returns the value as compact JSON.
+func (n *node) json() string {
+	var out bytes.Buffer
+	n.appendJSON(&out)
+	return out.String()
+}
+
+// jsonText returns a scalar as JSON text, with no escapes that only HTML needs.
+func jsonText(value any) string {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return ""
+	}
+	return string(bytes.TrimSuffix(out.Bytes(), []byte("\n")))
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"unicode/utf8"
+)
+
+// fileNamePattern permits only lower case, so that byte order is the order
+// that operators expect and no two names differ by case alone.
+var fileNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*\.json$`)
+
+var utf8ByteOrderMark = []byte("\xef\xbb\xbf")
+
+// parser reads one file into a tree and reports each problem that it meets.
+type parser struct {
+	file    string
+	decoder *json.Decoder
+	report  *Report
+}
+
+// parseFile returns the tree of a file, or nil if the file can't be read.
+func parseFile(f File, report *Report) *node {
+	checkFileName(f.Name, report)
+	if problem, ok := checkSyntax(f.Data); !ok {
+		problem.File = f.Name
+		report.add(problem)
+		return nil
+	}
+	p := &parser{file: f.Name, decoder: json.NewDecoder(bytes.NewReader(f.Data)), report: report}
+	p.decoder.UseNumber()
+	tree := p.value("", 0)
+	if tree == nil {
+		return nil
+	}
+	if tree.kind != kindObject {
+		report.add(Problem{File: f.Name, What: "the top level is not an object", Hint: "start the file with {"})
+		return nil
+	}
+	return tree
+}
+
+func checkFileName(name string, report *Report) {
+	if len(name) <= MaxNameBytes && fileNamePattern.MatchString(name) {
+		return
+	}
+	report.add(Problem{
+		File: name,
+		What: "bad file name",
+		Hint: fmt.Sprintf("use lower-case letters, digits, '.', '_' and '-', at most %d bytes, ending in .json", MaxNameBytes),
+	})
+}
+
+// checkSyntax reports the first byte that is not UTF-8 or not JSON.
+func checkSyntax(data []byte) (Problem, bool) {
+	if bytes.HasPrefix(data, utf8ByteOrderMark) {
+		return Problem{What: "starts with a byte order mark", Hint: "save the file as UTF-8 without one"}, false
+	}
+	if !utf8.Valid(data) {
+		return Problem{
+			What: fmt.Sprintf("not UTF-8 at %s", position(data, invalidUTF8Offset(data))),
+			Hint: "save the file as UTF-8",
+		}, false
+	}
+	var raw json.RawMessage
+	err := json.Unmarshal(data, &raw)
+	if err == nil {
+		return Problem{}, true
+	}
+	var syntax *json.SyntaxError
+	if !errors.As(err, &syntax) {
+		return Problem{What: err.Error()}, false
+	}
+	return Problem{
+		What: fmt.Sprintf("not JSON at %s: %s", position(data, int(syntax.Offset)-1), syntax.Error()),
+		Hint: "a file holds one JSON object and nothing after it; JSON has no comments and no trailing commas",
+	}, false
+}
+
+func invalidUTF8Offset(data []byte) int {
+	for offset := 0; offset < len(data); {
+		r, size := utf8.DecodeRune(data[offset:])
+		if r == utf8.RuneError && size == 1 {
+			return offset
+		}
+		offset += size
+	}
+	return len(data)
+}
+
+// position returns the line and column of an offset, both counted from 1.
+func position(data []byte, offset int) string {
+	before := data[:min(max(offset, 0), len(data))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - (bytes.LastIndexByte(before, '\n') + 1) + 1
+	return fmt.Sprintf("line %d, column %d", line, column)
+}
+
+// value reads the next value. It returns nil, with a problem reported, if the
+// file nests too deep or breaks off. depth is the number of objects and arrays
+// around the value.
+func (p *parser) value(pointer string, depth int) *node {
+	token, err := p.decoder.Token()
+	if err != nil {
+		p.report.add(Problem{File: p.file, Pointer: pointer, What: err.Error()})
+		return nil
+	}
+	delim, composite := token.(json.Delim)
+	switch {
+	case !composite && token == nil:
+		return &node{kind: kindNull, text: "null", file: p.file}
+	case !composite:
+		return &node{kind: kindScalar, text: jsonText(token), file: p.file}
+	case depth >= MaxDepth:
+		p.report.add(Problem{
+			File: p.file, Pointer: pointer,
+			What: fmt.Sprintf("nested deeper than %d levels", MaxDepth),
+			Hint: "no configuration value nests as deep; look for a misplaced bracket",
+		})
+		return nil
+	case delim == '{':
+		return p.object(pointer, depth+1)
+	default:
+		return p.array(pointer, depth+1)
+	}
+}
+
+func (p *parser) object(pointer string, depth int) *node {
+	object := newObject(p.file)
+	for p.decoder.More() {
+		token, err := p.decoder.Token()
+		name, ok := token.(string)
+		if err != nil || !ok {
+			p.report.add(Problem{File: p.file, Pointer: pointer, What: "a member has no name"})
+			return nil
+		}
+		at := join(pointer, name)
+		member := p.value(at, depth)
+		if member == nil {
+			return nil
+		}
+		if _, twice := object.members[name]; twice {
+			p.report.add(Problem{
+				File: p.file, Pointer: at,
+				What: "duplicate key", Hint: "state the key once; to replace a value, use a file with a later name",
+			})
+			continue
+		}
+		object.members[name] = member
+	}
+	return p.closed(object, pointer)
+}
+
+func (p *parser) array(pointer string, depth int) *node {
+	array := &node{kind: kindArray, file: p.file}
+	for p.decoder.More() {
+		item := p.value(join(pointer, fmt.Sprint(len(array.items))), depth)
+		if item == nil {
+			return nil
+		}
+		array.items = append(array.items, item)
+	}
+	return p.closed(array, pointer)
+}
+
+// closed reads the closing bracket of a composite value.
+func (p *parser) closed(composite *node, pointer string) *node {
+	if _, err := p.decoder.Token(); err != nil {
+		p.report.add(Problem{File: p.file, Pointer: pointer, What: err.Error()})
+		return nil
+	}
+	return composite
+}
+
+// shorten cuts JSON text that is too long for a line of a report.
+func shorten(text string) string {
+	const maxRunes = 60
+	runes := []rune(text)
+	if len(runes) <= maxRunes {
+		return text
+	}
+	return strings.TrimSpace(string(runes[:maxRunes])) + "..."
+}
--- /dev/null
+++ b/internal/config/pointer.go
@@ -0,0 +1,35 @@
+package config
+
+import "strings"
+
+// JSON pointers (RFC 6901) are kept as text; "" is the whole document.
+
+const pointerSeparator = "/"
+
+// join returns the pointer to a member of the object at pointer.
+func join(pointer string, names ...string) string {
+	for _, name := range names {
+		escaped := strings.ReplaceAll(name, "~", "~0")
+		escaped = strings.ReplaceAll(escaped, pointerSeparator, "~1")
+		pointer += pointerSeparator + escaped
+	}
+	return pointer
+}
+
+// split returns the names in a pointer. It reports false for text that is not
+// a pointer.
+func split(pointer string) ([]string, bool) {
+	if pointer == "" {
+		return nil, true
+	}
+	rest, ok := strings.CutPrefix(pointer, pointerSeparator)
+	if !ok {
+		return nil, false
+	}
+	names := strings.Split(rest, pointerSeparator)
+	for i, name := range names {
+		name = strings.ReplaceAll(name, "~1", pointerSeparator)
+		names[i] = strings.ReplaceAll(name, "~0", "~")
+	}
+	return names, true
+}
--- a/internal/config/report.go
+++ b/internal/config/report.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -47,6 +49,15 @@
 	r.Problems = append(r.Problems, p)
 }
 
+// sort orders the problems by file, pointer and text, and drops repeats.
+func (r *Report) sort() {
+	slices.SortFunc(r.Problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Pointer, b.Pointer),
+			cmp.Compare(a.What, b.What), cmp.Compare(a.Hint, b.Hint))
+	})
+	r.Problems = slices.Compact(r.Problems)
+}
+
 // Error returns all problems, a line each.
 func (r *Report) Error() string {
 	lines := make([]string, 0, len(r.Problems))
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// The schema is the Go type Document itself: struct fields are the known
+// members of an object, maps take any member, and all else is a scalar.
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+// schemaField is a member that an object of the schema may have.
+type schemaField struct {
+	name  string
+	index int
+}
+
+func schemaFields(t reflect.Type) []schemaField {
+	fields := make([]schemaField, 0, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		fields = append(fields, schemaField{name: name, index: i})
+	}
+	return fields
+}
+
+func isScalar(t reflect.Type) bool {
+	if reflect.PointerTo(t).Implements(unmarshalerType) {
+		return true
+	}
+	return t.Kind() != reflect.Struct && t.Kind() != reflect.Map && t.Kind() != reflect.Slice
+}
+
+// checkMembers reports every member of the tree that the schema does not know.
+// It runs on each file, so that a misspelt removal is found too.
+func checkMembers(tree *node, t reflect.Type, pointer string, report *Report) {
+	if tree.kind != kindObject || isScalar(t) {
+		return
+	}
+	if t.Kind() == reflect.Map {
+		for _, name := range tree.names() {
+			checkMembers(tree.members[name], t.Elem(), join(pointer, name), report)
+		}
+		return
+	}
+	if t.Kind() != reflect.Struct {
+		return
+	}
+	fields := schemaFields(t)
+	for _, name := range tree.names() {
+		i := slices.IndexFunc(fields, func(f schemaField) bool { return f.name == name })
+		if i < 0 {
+			report.add(unknownField(tree.file, join(pointer, name), fields))
+			continue
+		}
+		checkMembers(tree.members[name], t.Field(fields[i].index).Type, join(pointer, name), report)
+	}
+}
+
+func unknownField(file, pointer string, fields []schemaField) Problem {
+	known := make([]string, 0, len(fields))
+	for _, field := range fields {
+		known = append(known, field.name)
+	}
+	return Problem{File: file, Pointer: pointer, What: "unknown field", Hint: "known here: " + strings.Join(known, ", ")}
+}
+
+// decode fills value from the merged tree and reports every value whose type
+// does not fit. Members that the schema does not know are passed over.
+func decode(tree *node, value reflect.Value, pointer string, report *Report) {
+	t := value.Type()
+	switch {
+	case isScalar(t):
+		decodeScalar(tree, value, pointer, report)
+	case t.Kind() == reflect.Slice && tree.kind == kindArray:
+		value.Set(reflect.MakeSlice(t, len(tree.items), len(tree.items)))
+		for i, item := range tree.items {
+			decode(item, value.Index(i), join(pointer, fmt.Sprint(i)), report)
+		}
+	case t.Kind() == reflect.Map && tree.kind == kindObject:
+		decodeMap(tree, value, pointer, report)
+	case t.Kind() == reflect.Struct && tree.kind == kindObject:
+		for _, field := range schemaFields(t) {
+			member := tree.members[field.name]
+			if member != nil && member.kind != kindRemoved {
+				decode(member, value.Field(field.index), join(pointer, field.name), report)
+			}
+		}
+	default:
+		report.add(badType(tree, t, pointer))
+	}
+}
+
+func decodeMap(tree *node, value reflect.Value, pointer string, report *Report) {
+	t := value.Type()
+	value.Set(reflect.MakeMap(t))
+	for _, name := range tree.names() {
+		element := reflect.New(t.Elem()).Elem()
+		decode(tree.members[name], element, join(pointer, name), report)
+		value.SetMapIndex(reflect.ValueOf(name).Convert(t.Key()), element)
+	}
+}
+
+func decodeScalar(tree *node, value reflect.Value, pointer string, report *Report) {
+	if tree.kind != kindScalar {
+		report.add(badType(tree, value.Type(), pointer))
+		return
+	}
+	if err := json.Unmarshal([]byte(tree.text), value.Addr().Interface()); err != nil {
+		report.add(badType(tree, value.Type(), pointer))
+	}
+}
+
+func badType(tree *node, want reflect.Type, pointer string) Problem {
+	return Problem{
+		File: tree.file, Pointer: pointer,
+		What: fmt.Sprintf("%s is not %s", shorten(tree.json()), typeText(want)),
+	}
+}
+
+// typeText names a type of the schema in the words of JSON.
+func typeText(t reflect.Type) string {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return `a duration such as "2s" or "150ms"`
+	case t.Kind() == reflect.Struct || t.Kind() == reflect.Map:
+		return "an object"
+	case t.Kind() == reflect.Slice:
+		return "an array"
+	case t.Kind() == reflect.String:
+		return "a string"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Uint64:
+		return "a whole number of 0 or more"
+	default:
+		return "a whole number"
+	}
+}
