--- /dev/null
+++ b/internal/routing/book.go
@@ -0,0 +1,43 @@
+package routing
+
+import (
+	"sync"
+
+	"boragefall/internal/host"
+)
+
+// Book keeps the Stats of hosts across rebuilds of the pools. Its lock is
+// taken when views change and never on the path of a request.
+type Book struct {
+	mu    sync.Mutex
+	stats map[host.ID]*Stats
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{stats: map[host.ID]*Stats{}}
+}
+
+// Stats returns the entry of a host and makes it when there is none.
+func (b *Book) Stats(id host.ID) *Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.stats[id]
+	if s == nil {
+		s = &Stats{}
+		b.stats[id] = s
+	}
+	return s
+}
+
+// Retain drops the hosts that keep does not hold and that nothing is
+// outstanding to.
+func (b *Book) Retain(keep map[host.ID]struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.stats {
+		if _, ok := keep[id]; !ok && s.Outstanding() == 0 {
+			delete(b.stats, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/directory.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+)
+
+// DirectoryConfig says where the sender stands and how it chooses.
+type DirectoryConfig struct {
+	// Place is where the sender stands. Required.
+	Place datacentre.Place
+	// Host is the sender's own host. Required.
+	Host host.ID
+	// Pool tunes each pool.
+	Pool PoolConfig
+}
+
+// ServiceServers lists the servers of a service.
+type ServiceServers struct {
+	// Service is the name of the service.
+	Service string
+	// Servers lists its backend servers, those that leave included.
+	Servers []Server
+	// Entries replaces PoolConfig.Entries for this service unless it is 0.
+	Entries int
+}
+
+// Directory holds the pools of all services. Readers take one atomic load;
+// updates build a new set of pools beside the path of requests.
+type Directory struct {
+	config DirectoryConfig
+	book   *Book
+	mu     sync.Mutex // serialises updates
+	view   atomic.Pointer[directoryView]
+}
+
+// directoryView is one immutable state of a Directory.
+type directoryView struct {
+	pools map[string]*Pool
+	hosts map[host.ID]*Server
+}
+
+// NewDirectory returns an empty directory. Book keeps the Stats of hosts.
+func NewDirectory(cfg DirectoryConfig, book *Book) *Directory {
+	d := &Directory{config: cfg, book: book}
+	d.view.Store(&directoryView{})
+	return d
+}
+
+// Update replaces the servers of all services. Pools of services whose servers
+// did not change are kept.
+func (d *Directory) Update(services []ServiceServers) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	next := &directoryView{
+		pools: make(map[string]*Pool, len(services)),
+		hosts: map[host.ID]*Server{},
+	}
+	keep := map[host.ID]struct{}{}
+	for _, s := range services {
+		servers := slices.Clone(s.Servers)
+		for i := range servers {
+			servers[i].Stats = d.book.Stats(servers[i].Host)
+			next.hosts[servers[i].Host] = &servers[i]
+			keep[servers[i].Host] = struct{}{}
+		}
+		next.pools[s.Service] = d.poolOf(old.pools[s.Service], servers, s.Entries)
+	}
+	d.view.Store(next)
+	d.book.Retain(keep)
+}
+
+func (d *Directory) poolOf(old *Pool, servers []Server, entries int) *Pool {
+	cfg := d.config.Pool
+	if entries > 0 {
+		cfg.Entries = entries
+	}
+	if old != nil && old.config == cfg.withDefaults() && slices.Equal(old.listed, servers) {
+		return old
+	}
+	return NewPool(d.config.Place, d.config.Host, servers, cfg)
+}
+
+// Pool returns the pool of a service; false when no server of it is known.
+func (d *Directory) Pool(service string) (*Pool, bool) {
+	p, ok := d.view.Load().pools[service]
+	return p, ok
+}
+
+// Server returns any listed server by host, also one that is leaving: a keyed
+// request goes to the host that its key names.
+func (d *Directory) Server(id host.ID) (*Server, bool) {
+	s, ok := d.view.Load().hosts[id]
+	return s, ok
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+	"boragefall/internal/verdict"
+)
+
+// refusalRetryAfter is the Retry-After of a service without a usable server.
+const refusalRetryAfter = time.Second
+
+// Random draws from the runtime's generator, which threads don't share.
+type Random struct{}
+
+// Uint64 returns a random number.
+func (Random) Uint64() uint64 {
+	return rand.Uint64()
+}
+
+// Pool is the servers of one service that this sender uses. It is immutable
+// but for the Stats of its servers.
+type Pool struct {
+	config    PoolConfig
+	listed    []Server // as given, to tell whether a rebuild is needed
+	servers   []Server // the subset, nearest first
+	distances []datacentre.Distance
+}
+
+// NewPool returns the pool of a sender. Servers that are leaving or down are
+// left out; each server needs its Stats.
+func NewPool(self datacentre.Place, selfHost host.ID, servers []Server, cfg PoolConfig) *Pool {
+	p := &Pool{config: cfg.withDefaults(), listed: servers}
+	p.servers = subset(self, selfHost, servers, p.config.SubsetSize)
+	for i := range p.servers {
+		if p.servers[i].Stats == nil {
+			p.servers[i].Stats = &Stats{}
+		}
+		p.distances = append(p.distances, self.DistanceTo(p.servers[i].Place))
+	}
+	return p
+}
+
+// Choose picks a server that is not excluded and counts the request as
+// outstanding there; the sender ends it with Stats.Finish. It returns false
+// when no server may be chosen; Refusal says why.
+func (p *Pool) Choose(r rand.Source, exclude []host.ID, now time.Time) (*Server, bool) {
+	for {
+		var b board
+		b.fill(p, exclude, now)
+		c := b.pick(p, r)
+		if c == nil {
+			return nil, false
+		}
+		if c.limit == 0 {
+			c.server.Stats.Begin()
+			return c.server, true
+		}
+		// Another request may have taken the last place of a cold server
+		// since it was assessed; then look again.
+		if c.server.Stats.beginBelow(c.limit) {
+			return c.server, true
+		}
+	}
+}
+
+// Servers returns the subset in use, nearest first. The slice is shared and
+// must not be changed.
+func (p *Pool) Servers() []Server {
+	return p.servers
+}
+
+// Refusal returns the error of a request that Choose found no server for.
+func (p *Pool) Refusal() *verdict.Error {
+	// NotRun: no server was chosen, so nothing was sent.
+	return verdict.Refuse(p.refusalReason(), refusalRetryAfter)
+}
+
+func (p *Pool) refusalReason() verdict.Reason {
+	if len(p.listed) == 0 {
+		return verdict.ReasonLacksResource
+	}
+	if len(p.servers) == 0 {
+		if slices.ContainsFunc(p.listed, func(s Server) bool { return s.Leaving || s.State == host.StateLeaving }) {
+			return verdict.ReasonLeaving
+		}
+		return verdict.ReasonLacksResource
+	}
+	return verdict.ReasonCold
+}
--- /dev/null
+++ b/internal/routing/rule.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"cmp"
+	"net/textproto"
+	"slices"
+
+	"boragefall/internal/config"
+)
+
+// headerValue is one header that a rule asks for.
+type headerValue struct {
+	name  string
+	value string
+}
+
+// rule is a route together with the conditions that its path index leaves
+// open.
+type rule struct {
+	route   *Route
+	methods []string
+	headers []headerValue
+}
+
+func newRule(name string, route config.Route) rule {
+	r := rule{route: &Route{Name: name, Route: route}, methods: route.Match.Methods}
+	for header, value := range route.Match.Headers {
+		r.headers = append(r.headers, headerValue{textproto.CanonicalMIMEHeaderKey(header), value})
+	}
+	slices.SortFunc(r.headers, func(a, b headerValue) int { return cmp.Compare(a.name, b.name) })
+	return r
+}
+
+func (r *rule) matches(request *MatchRequest) bool {
+	if len(r.methods) > 0 && !slices.Contains(r.methods, request.Method) {
+		return false
+	}
+	for i := range r.headers {
+		if request.Header == nil || request.Header(r.headers[i].name) != r.headers[i].value {
+			return false
+		}
+	}
+	return true
+}
+
+// compareRules orders the rules of one path: more headers first, then rules
+// that name methods before rules that take all, fewer methods first, then by
+// name.
+func compareRules(a, b rule) int {
+	return cmp.Or(
+		cmp.Compare(len(b.headers), len(a.headers)),
+		cmp.Compare(methodRank(a), methodRank(b)),
+		cmp.Compare(a.route.Name, b.route.Name),
+	)
+}
+
+func methodRank(r rule) int {
+	const allMethods = 1 << 16
+	if len(r.methods) == 0 {
+		return allMethods
+	}
+	return len(r.methods)
+}
--- /dev/null
+++ b/internal/routing/stats.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"boragefall/internal/host"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// latencyWeight is the share of a new sample in the moving average.
+	latencyWeight = 0.1
+	// reportFresh is how long a load report counts; its weight falls linearly
+	// to nothing over this time.
+	reportFresh = 2 * time.Second
+	// leavingHold is how long an answer that says leaving or down keeps a
+	// server out while no record says so.
+	leavingHold = 10 * time.Second
+	// failuresToBackOff is the number of failures in a row that make a sender
+	// avoid a server.
+	failuresToBackOff = 3
+	// backOffBase and backOffMax bound how long it is avoided.
+	backOffBase = 500 * time.Millisecond
+	backOffMax  = 10 * time.Second
+)
+
+// Stats is what one sender knows first-hand of a host. All fields are atomics;
+// it outlives the pools that point to it.
+type Stats struct {
+	outstanding atomic.Int64
+	report      atomic.Uint64 // packedLoad
+	reportAt    atomic.Int64  // Unix nanoseconds, 0 is never
+	leavingAt   atomic.Int64  // Unix nanoseconds, 0 is not leaving
+	latency     atomic.Uint64 // float64 bits, nanoseconds
+	failures    atomic.Int64  // in a row
+	failedAt    atomic.Int64  // Unix nanoseconds
+}
+
+// Outcome is the end of one request to a host.
+type Outcome struct {
+	// At is when it ended.
+	At time.Time
+	// Latency is the time from sending to the end of the answer.
+	Latency time.Duration
+	// Err is nil for an answer.
+	Err error
+}
+
+// Begin counts a request as outstanding. Choose does so itself; only a sender
+// that picks a host by other means calls Begin.
+func (s *Stats) Begin() {
+	s.outstanding.Add(1)
+}
+
+// beginBelow counts a request as outstanding unless limit ones are already.
+func (s *Stats) beginBelow(limit int64) bool {
+	for {
+		current := s.outstanding.Load()
+		if current >= limit {
+			return false
+		}
+		if s.outstanding.CompareAndSwap(current, current+1) {
+			return true
+		}
+	}
+}
+
+// Finish ends a request that Begin or Choose counted. Call it exactly once.
+func (s *Stats) Finish(o Outcome) {
+	s.outstanding.Add(-1)
+	if o.Err == nil {
+		s.failures.Store(0)
+		s.addLatency(o.Latency)
+		return
+	}
+	switch verdict.Of(o.Err).Reason {
+	case verdict.ReasonUnreachable, verdict.ReasonConnectionLost, verdict.ReasonCutAnswer:
+		s.failedAt.Store(o.At.UnixNano())
+		s.failures.Add(1)
+	case verdict.ReasonLeaving:
+		s.leavingAt.Store(o.At.UnixNano())
+	}
+}
+
+// Observe takes the load that came with an answer. Call it before Finish, so
+// that the sender's own share of the reported load is known.
+func (s *Stats) Observe(l Load, now time.Time) {
+	foreign := l.Running + l.Queued - int(s.outstanding.Load())
+	s.report.Store(uint64(packLoad(foreign, l.Limit, l.State)))
+	s.reportAt.Store(now.UnixNano())
+	if l.State == host.StateLeaving || l.State == host.StateDown {
+		s.leavingAt.Store(now.UnixNano())
+		return
+	}
+	s.leavingAt.Store(0)
+}
+
+// Outstanding returns the number of requests that this sender waits for.
+func (s *Stats) Outstanding() int {
+	return int(s.outstanding.Load())
+}
+
+// Latency returns the moving average of the latency; 0 before the first answer.
+func (s *Stats) Latency() time.Duration {
+	return time.Duration(math.Float64frombits(s.latency.Load()))
+}
+
+// Failures returns the number of connection failures in a row.
+func (s *Stats) Failures() int {
+	return int(s.failures.Load())
+}
+
+func (s *Stats) addLatency(sample time.Duration) {
+	for {
+		old := s.latency.Load()
+		average := math.Float64frombits(old)
+		if average == 0 {
+			average = float64(sample)
+		}
+		average += latencyWeight * (float64(sample) - average)
+		if s.latency.CompareAndSwap(old, math.Float64bits(average)) {
+			return
+		}
+	}
+}
+
+// saidLeaving reports whether a recent answer said leaving or down.
+func (s *Stats) saidLeaving(now int64) bool {
+	at := s.leavingAt.Load()
+	return at != 0 && now-at < int64(leavingHold)
+}
+
+// fresh returns the last report and its weight in thousandths, 0 when it is
+// too old.
+func (s *Stats) fresh(now int64) (packedLoad, int64) {
+	const full = 1000
+	at := s.reportAt.Load()
+	if at == 0 {
+		return 0, 0
+	}
+	age := max(now-at, 0)
+	if age >= int64(reportFresh) {
+		return 0, 0
+	}
+	return packedLoad(s.report.Load()), full - age*full/int64(reportFresh)
+}
+
+// backingOff reports whether failures in a row keep new requests away. After
+// the back-off a single request tries the host.
+func (s *Stats) backingOff(now int64) bool {
+	failures := s.failures.Load()
+	if failures < failuresToBackOff {
+		return false
+	}
+	doublings := min(failures-failuresToBackOff, 10)
+	wait := min(backOffBase<<doublings, backOffMax)
+	if now-s.failedAt.Load() < int64(wait) {
+		return true
+	}
+	return s.outstanding.Load() > 0
+}
--- /dev/null
+++ b/internal/routing/subset.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+)
+
+// Shares of a subset by distance, in percent. What a distance can't fill goes
+// to the others, the nearest first.
+var subsetShares = [distances]int{
+	datacentre.SameDataCentre: 50,
+	datacentre.SameRegion:     35,
+	datacentre.OtherRegion:    15,
+}
+
+const distances = int(datacentre.OtherRegion) + 1
+
+// ranked is a server with its rendezvous score.
+type ranked struct {
+	server   Server
+	score    uint64
+	distance datacentre.Distance
+}
+
+// subset picks at most size of the servers by rendezvous hash of the sender
+// and the server, so that each sender keeps its subset when others come and
+// go, and all subsets together spread evenly over the servers. Suspects come
+// after all others of their distance.
+func subset(self datacentre.Place, selfHost host.ID, servers []Server, size int) []Server {
+	groups := groupByDistance(self, selfHost, servers)
+	taken := [distances]int{}
+	left := size
+	for d := range groups {
+		taken[d] = min(len(groups[d]), max(1, size*subsetShares[d]/100), left)
+		left -= taken[d]
+	}
+	for d := range groups {
+		more := min(len(groups[d])-taken[d], left)
+		taken[d] += more
+		left -= more
+	}
+	var out []Server
+	for d := range groups {
+		for _, r := range groups[d][:taken[d]] {
+			out = append(out, r.server)
+		}
+	}
+	return out
+}
+
+func groupByDistance(self datacentre.Place, selfHost host.ID, servers []Server) [distances][]ranked {
+	var groups [distances][]ranked
+	for _, s := range servers {
+		if !s.usable() {
+			continue
+		}
+		d := self.DistanceTo(s.Place)
+		groups[d] = append(groups[d], ranked{server: s, score: score(selfHost, s.Host), distance: d})
+	}
+	for d := range groups {
+		slices.SortFunc(groups[d], compareRanked)
+	}
+	return groups
+}
+
+func compareRanked(a, b ranked) int {
+	if a.server.Suspect != b.server.Suspect {
+		if a.server.Suspect {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.server.Host, b.server.Host))
+}
+
+// score is the rendezvous weight of a sender and a server.
+func score(sender, server host.ID) uint64 {
+	const separator = "\x00"
+	return xxhash.Sum64String(string(sender) + separator + string(server))
+}
