Add the platform client and the spread of versions

Cause: nodes need the configuration and the host list from a source that grows more slowly than the fleet. Change: a read-only platform client with one read budget, and a state machine with its runner: readers by rendezvous hash, push, pull by hash, anti-entropy, boot from peers first, a floor that forbids going back.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,171 @@
+// Package platform reads the platform's configuration service and host list.
+// It only reads and watches. Every call, a watch too, is taken from one read
+// budget per node.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"boragefall/internal/config"
+)
+
+// RevisionHeader carries the revision of a value.
+const RevisionHeader = "Platform-Revision"
+
+// Paths of the platform's protocol.
+const (
+	pathList       = "/v1/list"
+	pathWatch      = "/v1/watch"
+	pathValue      = "/v1/value/"
+	pathHosts      = "/v1/hosts"
+	pathHostsWatch = "/v1/hosts/watch"
+)
+
+// Client is a read-only client of the platform. It is safe for concurrent use.
+type Client struct {
+	cfg    Config
+	http   *http.Client
+	budget *rate.Limiter
+}
+
+// NewClient returns a client. A nil transport means a transport of its own.
+func NewClient(cfg Config, transport http.RoundTripper) *Client {
+	cfg = cfg.withDefaults()
+	cfg.BaseURL = strings.TrimRight(cfg.BaseURL, "/")
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	}
+	return &Client{
+		cfg:    cfg,
+		http:   &http.Client{Transport: transport},
+		budget: rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), cfg.ReadBurst),
+	}
+}
+
+// ReadConfig reads all files of the folder at one revision. Values whose hash
+// is among the held files are not fetched.
+func (c *Client) ReadConfig(ctx context.Context, held []config.File) (*Folder, error) {
+	first, err := c.list(ctx, pathList, 0)
+	if err != nil {
+		return nil, err
+	}
+	return c.readValues(ctx, first, contentsOf(held))
+}
+
+// WatchConfig waits until the folder's revision differs from after, at most
+// for wait, and reads the folder. It returns nil, nil when the wait passed.
+func (c *Client) WatchConfig(ctx context.Context, after uint64, wait time.Duration, held []config.File) (*Folder, error) {
+	first, err := c.list(ctx, watchPath(pathWatch, after, wait), wait)
+	if err != nil || first == nil {
+		return nil, err
+	}
+	return c.readValues(ctx, first, contentsOf(held))
+}
+
+// ReadHosts reads the host list. The folder holds one file, HostListFile, with
+// the platform's bytes unchanged.
+func (c *Client) ReadHosts(ctx context.Context) (*Folder, error) {
+	return c.hosts(ctx, pathHosts, 0)
+}
+
+// WatchHosts waits until the host list's revision differs from after, at most
+// for wait. It returns nil, nil when the wait passed.
+func (c *Client) WatchHosts(ctx context.Context, after uint64, wait time.Duration) (*Folder, error) {
+	return c.hosts(ctx, watchPath(pathHostsWatch, after, wait), wait)
+}
+
+func (c *Client) hosts(ctx context.Context, path string, wait time.Duration) (*Folder, error) {
+	a, err := c.get(ctx, path, wait, maxHostListBytes)
+	if err != nil || a.unchanged {
+		return nil, err
+	}
+	var head struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err := json.Unmarshal(a.body, &head); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "host list: %v", err)
+	}
+	return &Folder{
+		Revision: head.Revision,
+		Files:    []config.File{{Name: HostListFile, Data: a.body}},
+	}, nil
+}
+
+func (c *Client) list(ctx context.Context, path string, wait time.Duration) (*listing, error) {
+	a, err := c.get(ctx, path, wait, maxListingBytes)
+	if err != nil || a.unchanged {
+		return nil, err
+	}
+	l := &listing{}
+	if err := json.Unmarshal(a.body, l); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "listing: %v", err)
+	}
+	l.sort()
+	return l, nil
+}
+
+// answer is a good HTTP answer.
+type answer struct {
+	unchanged bool
+	body      []byte
+	revision  string
+}
+
+func (c *Client) get(ctx context.Context, path string, wait time.Duration, limit int64) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout+wait)
+	defer cancel()
+	if err := c.budget.Wait(ctx); err != nil {
+		return answer{}, eris.Wrap(ErrOverBudget, err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.cfg.BaseURL+path, nil)
+	if err != nil {
+		return answer{}, eris.Wrap(ErrMalformed, err.Error())
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return answer{}, eris.Wrap(ErrOutage, err.Error())
+	}
+	defer response.Body.Close()
+	return readAnswer(response, limit)
+}
+
+func readAnswer(response *http.Response, limit int64) (answer, error) {
+	switch code := response.StatusCode; {
+	case code == http.StatusNotModified:
+		return answer{unchanged: true}, nil
+	case code == http.StatusTooManyRequests:
+		return answer{}, eris.Wrap(ErrOverLimit, response.Status)
+	case code == http.StatusNotFound:
+		// The value was removed between the listing and its read.
+		return answer{}, eris.Wrap(ErrMismatch, response.Status)
+	case code >= http.StatusInternalServerError:
+		return answer{}, eris.Wrap(ErrOutage, response.Status)
+	case code != http.StatusOK:
+		return answer{}, eris.Wrap(ErrMalformed, response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return answer{}, eris.Wrap(ErrOutage, err.Error())
+	}
+	if int64(len(body)) > limit {
+		return answer{}, eris.Wrapf(ErrTooLarge, "over %d bytes", limit)
+	}
+	return answer{body: body, revision: response.Header.Get(RevisionHeader)}, nil
+}
+
+func watchPath(path string, after uint64, wait time.Duration) string {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait", wait.String())
+	return path + "?" + query.Encode()
+}
--- /dev/null
+++ b/internal/platform/folder.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"cmp"
+	"encoding/hex"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/config"
+)
+
+// HostListFile names the single file of the host list's folder.
+const HostListFile = "hosts.json"
+
+// Folder is a set of files as the platform held them at one revision.
+type Folder struct {
+	// Revision is the platform's revision of the whole folder.
+	Revision uint64
+	// Files is sorted by name.
+	Files []config.File
+}
+
+// listing is the body of GET /v1/list and /v1/watch.
+type listing struct {
+	Revision uint64         `json:"revision"`
+	Entries  []listingEntry `json:"entries"`
+}
+
+type listingEntry struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	SHA256   string `json:"sha256"`
+}
+
+func (l *listing) sort() {
+	slices.SortFunc(l.Entries, func(a, b listingEntry) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (l *listing) equal(other *listing) bool {
+	return l.Revision == other.Revision && slices.Equal(l.Entries, other.Entries)
+}
+
+// hash parses the listed SHA-256.
+func (e listingEntry) hash() (config.Hash, error) {
+	var h config.Hash
+	raw, err := hex.DecodeString(e.SHA256)
+	if err != nil || len(raw) != len(h) {
+		return h, eris.Wrapf(ErrMalformed, "sha256 of %q", e.Name)
+	}
+	copy(h[:], raw)
+	return h, nil
+}
+
+// contents finds file bytes by their hash.
+type contents map[config.Hash][]byte
+
+func contentsOf(files []config.File) contents {
+	held := make(contents, len(files))
+	for _, f := range files {
+		held[config.HashOf(f.Data)] = f.Data
+	}
+	return held
+}
--- /dev/null
+++ b/internal/platform/values.go
@@ -0,0 +1,66 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/config"
+)
+
+// readValues fetches the values that held lacks and lists again, until a
+// listing equals the one that the values were fetched for. Only then do all
+// values stand for one revision.
+func (c *Client) readValues(ctx context.Context, first *listing, held contents) (*Folder, error) {
+	for range c.cfg.ListingTries {
+		folder, err := c.fetch(ctx, first, held)
+		if err != nil && !errors.Is(err, ErrMismatch) {
+			return nil, err
+		}
+		second, listErr := c.list(ctx, pathList, 0)
+		if listErr != nil {
+			return nil, listErr
+		}
+		if second == nil {
+			return nil, eris.Wrap(ErrMalformed, "a listing without a body")
+		}
+		if err == nil && first.equal(second) {
+			return folder, nil
+		}
+		first = second
+	}
+	return nil, eris.Wrapf(ErrInconsistent, "%d listings", c.cfg.ListingTries)
+}
+
+func (c *Client) fetch(ctx context.Context, l *listing, held contents) (*Folder, error) {
+	folder := &Folder{Revision: l.Revision, Files: make([]config.File, 0, len(l.Entries))}
+	for _, entry := range l.Entries {
+		hash, err := entry.hash()
+		if err != nil {
+			return nil, err
+		}
+		data, ok := held[hash]
+		if !ok {
+			if data, err = c.value(ctx, entry, hash); err != nil {
+				return nil, err
+			}
+			held[hash] = data
+		}
+		folder.Files = append(folder.Files, config.File{Name: entry.Name, Data: data})
+	}
+	return folder, nil
+}
+
+func (c *Client) value(ctx context.Context, entry listingEntry, want config.Hash) ([]byte, error) {
+	a, err := c.get(ctx, pathValue+url.PathEscape(entry.Name), 0, maxValueBytes)
+	if err != nil {
+		return nil, err
+	}
+	if a.revision != strconv.FormatUint(entry.Revision, 10) || config.HashOf(a.body) != want {
+		return nil, eris.Wrapf(ErrMismatch, "%q at revision %s", entry.Name, a.revision)
+	}
+	return a.body, nil
+}
--- /dev/null
+++ b/internal/spread/document.go
@@ -0,0 +1,153 @@
+package spread
+
+import (
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/wire"
+)
+
+// Bounds of what a node remembers of each document.
+const (
+	maxOffers     = 16
+	maxRejections = 16
+)
+
+// offer is a version that a peer announced.
+type offer struct {
+	address string
+	version config.Version
+	hash    config.Hash
+}
+
+// Rejection is a version that this node refused.
+type Rejection struct {
+	Kind wire.DocumentKind
+	// Version is the announced version. The epoch of a version that came from
+	// the source is 0, since a refused document states none.
+	Version config.Version
+	Hash    config.Hash
+	// FromSource reports that the source gave the version, not a peer.
+	FromSource bool
+	Reason     string
+	At         time.Time
+}
+
+// document is the state of one kind of document.
+type document struct {
+	kind    wire.DocumentKind
+	current *Bundle
+	// floor is the oldest version that may be applied: the applied one, or,
+	// until there is one, the newest that an answering peer announced.
+	floor    config.Version
+	offers   []offer
+	rejected []Rejection
+	pull     *pull
+}
+
+// wants reports whether a version may replace the current one.
+func (d *document) wants(v config.Version) bool {
+	if d.current == nil {
+		return !v.Less(d.floor)
+	}
+	return d.floor.Less(v)
+}
+
+// announce keeps an offer, one for each address.
+func (d *document) announce(o offer) {
+	if d.current == nil && d.floor.Less(o.version) {
+		d.floor = o.version
+	}
+	d.withdraw(o.address)
+	if !d.wants(o.version) || d.refused(o) {
+		return
+	}
+	if len(d.offers) == maxOffers {
+		d.dropOldest()
+	}
+	d.offers = append(d.offers, o)
+}
+
+func (d *document) withdraw(address string) {
+	kept := d.offers[:0]
+	for _, o := range d.offers {
+		if o.address != address {
+			kept = append(kept, o)
+		}
+	}
+	d.offers = kept
+}
+
+// dropOldest drops the offer of the oldest version.
+func (d *document) dropOldest() {
+	oldest := 0
+	for i, o := range d.offers {
+		if o.version.Less(d.offers[oldest].version) {
+			oldest = i
+		}
+	}
+	d.offers = append(d.offers[:oldest], d.offers[oldest+1:]...)
+}
+
+// prune drops the offers that are no longer wanted.
+func (d *document) prune() {
+	kept := d.offers[:0]
+	for _, o := range d.offers {
+		if d.wants(o.version) && !d.refused(o) {
+			kept = append(kept, o)
+		}
+	}
+	d.offers = kept
+}
+
+// best returns the offer of the newest version.
+func (d *document) best() (offer, bool) {
+	if len(d.offers) == 0 {
+		return offer{}, false
+	}
+	best := d.offers[0]
+	for _, o := range d.offers[1:] {
+		if best.version.Less(o.version) {
+			best = o
+		}
+	}
+	return best, true
+}
+
+func (d *document) refused(o offer) bool {
+	for _, r := range d.rejected {
+		if r.Version == o.version && r.Hash == o.hash {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *document) refusedFromSource(revision uint64, hash config.Hash) bool {
+	for _, r := range d.rejected {
+		if r.FromSource && r.Version.Revision == revision && r.Hash == hash {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *document) reject(r Rejection) {
+	if len(d.rejected) == maxRejections {
+		d.rejected = d.rejected[1:]
+	}
+	d.rejected = append(d.rejected, r)
+	d.prune()
+}
+
+// announcement is what this node says of the document, or nil.
+func (d *document) announcement() *wire.DocumentVersion {
+	if d.current == nil {
+		return nil
+	}
+	return &wire.DocumentVersion{
+		Kind:         d.kind,
+		Version:      versionToWire(d.current.Version),
+		ManifestHash: d.current.Hash[:],
+	}
+}
--- /dev/null
+++ b/internal/spread/errors.go
@@ -0,0 +1,17 @@
+package spread
+
+import "github.com/rotisserie/eris"
+
+// Sentinel errors of this package.
+var (
+	// ErrVersionMismatch means that a bundle's files make another version than
+	// the one it was announced as.
+	ErrVersionMismatch = eris.New("the files make another version than the announced one")
+	// ErrBadManifest means that a manifest is malformed, too large or has
+	// another hash than the announced one.
+	ErrBadManifest = eris.New("the manifest is not the announced one")
+	// ErrBadHostList means that a host list is malformed.
+	ErrBadHostList = eris.New("the host list is malformed")
+	// ErrUnknownKind means that a document kind is not known here.
+	ErrUnknownKind = eris.New("the document kind is unknown")
+)
--- /dev/null
+++ b/internal/spread/machine.go
@@ -0,0 +1,173 @@
+// Package spread moves versioned documents, the configuration and the host
+// list, between nodes. A few nodes read the source; all others learn of a
+// version by gossip and pull its pieces by hash. Each version is checked whole
+// before it replaces the current one, and a floor forbids going back.
+//
+// Machine makes all decisions and does no I/O; Runner is its rim.
+package spread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+	"boragefall/internal/wire"
+)
+
+// pauseGap is the gap between two ticks that counts as a pause of the process.
+const pauseGap = time.Second
+
+// Machine is a deterministic state machine. Its inputs carry the present time
+// and return the effects to carry out, in order. It is not safe for concurrent
+// use.
+type Machine struct {
+	cfg      Config
+	self     host.Listing
+	acceptor Acceptor
+	random   *rand.Rand
+
+	documents [len(kinds)]*document
+	peers     *peers
+	extra     []host.Listing // hosts known besides the list
+	budget    *Budget
+	boot      boot
+	source    source
+	push      push
+
+	lastTick        time.Time
+	nextAntiEntropy time.Time
+	lastPull        uint64
+	effects         []Effect
+	counters        Counters
+}
+
+// NewMachine returns the machine of a process that starts now and holds
+// nothing.
+func NewMachine(cfg Config, self host.Listing, acceptor Acceptor, random *rand.Rand, now time.Time) *Machine {
+	cfg = cfg.withDefaults()
+	m := &Machine{
+		cfg:      cfg,
+		self:     self,
+		acceptor: acceptor,
+		random:   random,
+		peers:    newPeers(self, cfg.BootPeers),
+		budget:   NewBudget(cfg.ControlRate, cfg.ControlBurst, now),
+		source:   newSource(cfg, now),
+		lastTick: now,
+	}
+	for i, kind := range kinds {
+		m.documents[i] = &document{kind: kind}
+	}
+	m.startBoot(now)
+	return m
+}
+
+// Tick does what is due. It is called every Config.TickEvery.
+func (m *Machine) Tick(now time.Time) []Effect {
+	if now.Sub(m.lastTick) > pauseGap {
+		// The view may be old: compare it before anything else.
+		m.nextAntiEntropy = now
+		m.counters.Pauses++
+	}
+	m.lastTick = now
+	m.checkBoot(now)
+	m.checkPulls(now)
+	m.readSource(now)
+	m.antiEntropy(now)
+	m.pushDue(now, true)
+	return m.drain()
+}
+
+// PeersChanged takes hosts that are known besides those of the host list.
+func (m *Machine) PeersChanged(now time.Time, extra []host.Listing) []Effect {
+	m.extra = extra
+	m.setPeers()
+	return m.drain()
+}
+
+// Current returns the bundle in force, or nil.
+func (m *Machine) Current(kind wire.DocumentKind) *Bundle {
+	if d := m.document(kind); d != nil {
+		return d.current
+	}
+	return nil
+}
+
+func (m *Machine) document(kind wire.DocumentKind) *document {
+	for _, d := range m.documents {
+		if d.kind == kind {
+			return d
+		}
+	}
+	return nil
+}
+
+// apply puts a version in force and pushes it.
+func (m *Machine) apply(now time.Time, d *document, b *Bundle, accepted Accepted) {
+	d.current = b
+	d.floor = b.Version
+	d.prune()
+	m.counters.Applied++
+	m.emit(Apply{Bundle: b, Accepted: accepted})
+	if accepted.List != nil {
+		m.source.listed = accepted.List.Hosts
+		m.setPeers()
+	}
+	m.push.start(now)
+	m.pushDue(now, false)
+}
+
+func (m *Machine) reject(now time.Time, d *document, r Rejection) {
+	r.Kind = d.kind
+	r.At = now
+	m.counters.Rejected++
+	d.reject(r)
+	m.emit(Refused{Rejection: r})
+}
+
+func (m *Machine) setPeers() {
+	m.peers.set(append(append([]host.Listing(nil), m.source.listed...), m.extra...))
+}
+
+func (m *Machine) checkPulls(now time.Time) {
+	for _, d := range m.documents {
+		if d.pull != nil && !now.Before(d.pull.deadline) {
+			m.peers.failed(now, d.pull.address)
+			m.dropPull(now, d)
+		}
+		m.pullNext(now, d)
+	}
+}
+
+// lacking reports whether this node still holds no version of a document.
+func (m *Machine) lacking() bool {
+	for _, d := range m.documents {
+		if d.current == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) emit(e Effect) {
+	m.effects = append(m.effects, e)
+}
+
+func (m *Machine) drain() []Effect {
+	out := m.effects
+	m.effects = nil
+	return out
+}
+
+func (m *Machine) appliedVersion() config.Version {
+	if b := m.documents[0].current; b != nil {
+		return b.Version
+	}
+	return config.Version{}
+}
+
+// jitter draws a wait between 0 and limit.
+func (m *Machine) jitter(limit time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(limit) + 1))
+}
--- /dev/null
+++ b/internal/spread/peers.go
@@ -0,0 +1,184 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+)
+
+// suspectFor is how long a peer that failed is avoided.
+const suspectFor = 10 * time.Second
+
+// bootPeerShare is one in how many partners is drawn from the boot peers, so
+// that a fleet whose list names only dead hosts finds itself again.
+const bootPeerShare = 8
+
+// distanceCount is the number of datacentre.Distance values.
+const distanceCount = 3
+
+// distanceWeights are the chances, in percent, that a random partner stands at
+// each distance.
+var distanceWeights = [distanceCount]int{60, 25, 15}
+
+// peers knows whom this node can gossip with. It is not safe for concurrent
+// use.
+type peers struct {
+	self     host.Listing
+	boot     []string
+	byID     map[host.ID]host.Listing
+	suspects map[string]time.Time // address -> end of suspicion
+	near     [distanceCount][]host.Listing
+	local    []host.ID // hosts of the own data centre, without self
+}
+
+func newPeers(self host.Listing, boot []string) *peers {
+	p := &peers{self: self, suspects: map[string]time.Time{}}
+	for _, address := range boot {
+		if address != self.Address {
+			p.boot = append(p.boot, address)
+		}
+	}
+	p.set(nil)
+	return p
+}
+
+// set replaces the known hosts.
+func (p *peers) set(listings []host.Listing) {
+	p.byID = make(map[host.ID]host.Listing, len(listings))
+	p.near = [distanceCount][]host.Listing{}
+	p.local = nil
+	for _, l := range listings {
+		if l.ID == p.self.ID || l.Address == "" {
+			continue
+		}
+		if _, known := p.byID[l.ID]; known {
+			continue
+		}
+		p.byID[l.ID] = l
+		distance := p.self.Place.DistanceTo(l.Place)
+		p.near[distance] = append(p.near[distance], l)
+		if l.Place.DataCentre == p.self.Place.DataCentre {
+			p.local = append(p.local, l.ID)
+		}
+	}
+}
+
+func (p *peers) address(id host.ID) string {
+	return p.byID[id].Address
+}
+
+func (p *peers) failed(now time.Time, address string) {
+	p.suspects[address] = now.Add(suspectFor)
+}
+
+func (p *peers) answered(address string) {
+	delete(p.suspects, address)
+}
+
+func (p *peers) suspect(now time.Time, address string) bool {
+	until, ok := p.suspects[address]
+	if ok && !now.Before(until) {
+		delete(p.suspects, address)
+		return false
+	}
+	return ok
+}
+
+// partner draws one peer for anti-entropy; "" when there is none.
+func (p *peers) partner(now time.Time, random *rand.Rand) string {
+	if len(p.boot) > 0 && (len(p.byID) == 0 || random.IntN(bootPeerShare) == 0) {
+		return p.boot[random.IntN(len(p.boot))]
+	}
+	return p.draw(now, random, nil)
+}
+
+// fanout draws up to n peers, nearer ones more likely, with one in another
+// data centre and one in another region when there are any.
+func (p *peers) fanout(now time.Time, random *rand.Rand, n int) []string {
+	var chosen []string
+	for _, distance := range [...]datacentre.Distance{datacentre.OtherRegion, datacentre.SameRegion} {
+		if address := p.drawAt(now, random, distance, chosen); address != "" {
+			chosen = append(chosen, address)
+		}
+	}
+	for len(chosen) < n {
+		address := p.draw(now, random, chosen)
+		if address == "" {
+			break
+		}
+		chosen = append(chosen, address)
+	}
+	if len(p.byID) == 0 {
+		chosen = append(chosen, sample(p.boot, random, n)...)
+	}
+	return chosen
+}
+
+// draw picks a distance by weight and then a peer at it or at the next one.
+func (p *peers) draw(now time.Time, random *rand.Rand, without []string) string {
+	pick := random.IntN(100)
+	first := 0
+	for first < distanceCount-1 && pick >= distanceWeights[first] {
+		pick -= distanceWeights[first]
+		first++
+	}
+	for i := range distanceCount {
+		distance := datacentre.Distance((first + i) % distanceCount)
+		if address := p.drawAt(now, random, distance, without); address != "" {
+			return address
+		}
+	}
+	return ""
+}
+
+// drawAt picks a peer at a distance: an unsuspected one when a few draws find
+// one, else any.
+func (p *peers) drawAt(now time.Time, random *rand.Rand, distance datacentre.Distance, without []string) string {
+	const draws = 6
+	group := p.near[distance]
+	if len(group) == 0 {
+		return ""
+	}
+	fallback := ""
+	for range draws {
+		address := group[random.IntN(len(group))].Address
+		if slices.Contains(without, address) {
+			continue
+		}
+		if !p.suspect(now, address) {
+			return address
+		}
+		fallback = address
+	}
+	return fallback
+}
+
+// rank returns this node's place among the unsuspected hosts of its data
+// centre by rendezvous hash; 0 is the first.
+func (p *peers) rank(now time.Time) int {
+	own := readerScore(p.self.Place.DataCentre, p.self.ID)
+	rank := 0
+	for _, id := range p.local {
+		if readerScore(p.self.Place.DataCentre, id) > own && !p.suspect(now, p.byID[id].Address) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// readerScore is the rendezvous score (highest random weight) of a host as a
+// reader of its data centre.
+func readerScore(centre datacentre.ID, id host.ID) uint64 {
+	return xxhash.Sum64String("reader\x00" + string(centre) + "\x00" + string(id))
+}
+
+func sample(addresses []string, random *rand.Rand, n int) []string {
+	shuffled := slices.Clone(addresses)
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	return shuffled[:min(n, len(shuffled))]
+}
--- /dev/null
+++ b/internal/spread/records.go
@@ -0,0 +1,37 @@
+package spread
+
+import (
+	"time"
+
+	"boragefall/internal/wire"
+)
+
+// Urgency says how soon pending host records should go out.
+type Urgency uint8
+
+// Urgencies.
+const (
+	NothingPending Urgency = iota
+	RecordsPending         // at the next tick
+	LeavingPending         // at once: a host says that it leaves
+)
+
+// Records is the host records' share of a gossip exchange.
+type Records interface {
+	// Pending reports whether changed records wait to be pushed.
+	Pending(now time.Time) Urgency
+	// Offer adds the record hash and pending records to an outgoing gossip.
+	Offer(now time.Time, out *wire.Gossip)
+	// Receive merges a received gossip and adds to its reply.
+	Receive(now time.Time, in, reply *wire.Gossip)
+	// Answered merges a reply and returns a follow-up for the same peer, or nil.
+	Answered(now time.Time, reply *wire.Gossip) *wire.Gossip
+}
+
+// noRecords takes no part in the gossip.
+type noRecords struct{}
+
+func (noRecords) Pending(time.Time) Urgency                     { return NothingPending }
+func (noRecords) Offer(time.Time, *wire.Gossip)                 {}
+func (noRecords) Receive(time.Time, *wire.Gossip, *wire.Gossip) {}
+func (noRecords) Answered(time.Time, *wire.Gossip) *wire.Gossip { return nil }
--- /dev/null
+++ b/internal/spread/runner.go
@@ -0,0 +1,255 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+	"boragefall/internal/platform"
+	"boragefall/internal/wire"
+)
+
+// Transport carries exchanges to other nodes.
+type Transport interface {
+	Gossip(ctx context.Context, address string, message *wire.Gossip) (*wire.Gossip, error)
+	Pull(ctx context.Context, address string, message *wire.Pull) (*wire.PullAnswer, error)
+}
+
+// Source reads the platform. A watch that ends without a change returns
+// nil, nil.
+type Source interface {
+	ReadConfig(ctx context.Context, held []config.File) (*platform.Folder, error)
+	WatchConfig(ctx context.Context, after uint64, wait time.Duration, held []config.File) (*platform.Folder, error)
+	ReadHosts(ctx context.Context) (*platform.Folder, error)
+	WatchHosts(ctx context.Context, after uint64, wait time.Duration) (*platform.Folder, error)
+}
+
+// Applier takes accepted versions, one after the other and in order.
+type Applier interface {
+	ApplyConfig(snapshot *config.Snapshot)
+	ApplyHostList(list *host.List)
+}
+
+// sourceTimeout bounds one read of the source, besides its wait.
+const sourceTimeout = 20 * time.Second
+
+// Runner is the input and output of a Machine. It is safe for concurrent use.
+type Runner struct {
+	cfg       Config
+	transport Transport
+	source    Source
+	applier   Applier
+	logger    *log.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	machine *Machine
+	applies []Apply
+	failing [len(kinds)]bool // the last read of the source failed
+
+	pending chan struct{} // signals that applies has entries
+}
+
+// NewRunner returns a runner. It answers peers at once; Run starts the rest.
+func NewRunner(cfg Config, self host.Listing, transport Transport, source Source, applier Applier, logger *log.Logger) *Runner {
+	cfg = cfg.withDefaults()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Runner{
+		cfg:       cfg,
+		transport: transport,
+		source:    source,
+		applier:   applier,
+		logger:    logger,
+		ctx:       ctx,
+		cancel:    cancel,
+		machine:   NewMachine(cfg, self, BuildAcceptor{}, random, time.Now()),
+		pending:   make(chan struct{}, 1),
+	}
+}
+
+// Run drives the machine until ctx ends and returns when its work has stopped.
+func (r *Runner) Run(ctx context.Context) {
+	defer r.stop()
+	ticker := time.NewTicker(r.cfg.TickEvery)
+	defer ticker.Stop()
+	r.step(r.machine.Tick)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.step(r.machine.Tick)
+		case <-r.pending:
+			r.applyPending()
+		}
+	}
+}
+
+func (r *Runner) stop() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.cancel()
+	r.work.Wait()
+}
+
+// HandleGossip answers a peer's gossip.
+func (r *Runner) HandleGossip(_ context.Context, message *wire.Gossip) *wire.Gossip {
+	var reply *wire.Gossip
+	r.step(func(now time.Time) []Effect {
+		var effects []Effect
+		reply, effects = r.machine.GossipReceived(now, message)
+		return effects
+	})
+	return reply
+}
+
+// HandlePull answers a peer's pull.
+func (r *Runner) HandlePull(message *wire.Pull) *wire.PullAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.PullReceived(time.Now(), message)
+}
+
+// SetPeers names hosts that are known besides those of the host list.
+func (r *Runner) SetPeers(extra []host.Listing) {
+	r.step(func(now time.Time) []Effect { return r.machine.PeersChanged(now, extra) })
+}
+
+// Status returns the present status.
+func (r *Runner) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Status(time.Now())
+}
+
+// step gives the machine one input and starts the effects.
+func (r *Runner) step(input func(now time.Time) []Effect) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range input(time.Now()) {
+		r.start(e)
+	}
+}
+
+// start carries out one effect. The lock is held, so that applies keep their
+// order; whatever may wait gets a goroutine.
+func (r *Runner) start(e Effect) {
+	if r.closed {
+		return
+	}
+	switch e := e.(type) {
+	case SendGossip:
+		r.work.Go(func() { r.gossip(e) })
+	case SendPull:
+		r.work.Go(func() { r.pull(e) })
+	case ReadSource:
+		r.work.Go(func() { r.read(e) })
+	case Refused:
+		r.logger.Warn().Str("part", "spread").Str("kind", e.Kind.String()).
+			Str("version", e.Version.String()).Str("reason", e.Reason).Msg("version rejected")
+	case Apply:
+		r.applies = append(r.applies, e)
+		select {
+		case r.pending <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *Runner) gossip(e SendGossip) {
+	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ExchangeTimeout)
+	defer cancel()
+	reply, err := r.transport.Gossip(ctx, e.Address, e.Message)
+	r.step(func(now time.Time) []Effect {
+		if err != nil {
+			return r.machine.PeerFailed(now, e.Address)
+		}
+		return r.machine.GossipAnswered(now, e.Address, reply)
+	})
+}
+
+func (r *Runner) pull(e SendPull) {
+	ctx, cancel := context.WithTimeout(r.ctx, r.cfg.ExchangeTimeout)
+	defer cancel()
+	answer, err := r.transport.Pull(ctx, e.Address, e.Message)
+	r.step(func(now time.Time) []Effect {
+		if err != nil {
+			return r.machine.PullFailed(now, e.ID)
+		}
+		return r.machine.PullAnswered(now, e.ID, answer)
+	})
+}
+
+func (r *Runner) read(e ReadSource) {
+	ctx, cancel := context.WithTimeout(r.ctx, e.Wait+sourceTimeout)
+	defer cancel()
+	folder, err := r.readFolder(ctx, e)
+	r.step(func(now time.Time) []Effect {
+		r.noteSource(e.Kind, err)
+		switch {
+		case err != nil:
+			return r.machine.SourceFailed(now, e.Kind, err)
+		case folder == nil:
+			return r.machine.SourceUnchanged(now, e.Kind)
+		default:
+			return r.machine.SourceRead(now, e.Kind, folder.Revision, folder.Files)
+		}
+	})
+}
+
+func (r *Runner) readFolder(ctx context.Context, e ReadSource) (*platform.Folder, error) {
+	watch := e.Wait > 0
+	switch {
+	case e.Kind == KindConfig && watch:
+		return r.source.WatchConfig(ctx, e.After, e.Wait, e.Held)
+	case e.Kind == KindConfig:
+		return r.source.ReadConfig(ctx, e.Held)
+	case watch:
+		return r.source.WatchHosts(ctx, e.After, e.Wait)
+	default:
+		return r.source.ReadHosts(ctx)
+	}
+}
+
+// noteSource logs when reads start to fail and when they work again.
+func (r *Runner) noteSource(kind wire.DocumentKind, err error) {
+	i, ok := kindIndex(kind)
+	if !ok || r.closed || r.failing[i] == (err != nil) {
+		return
+	}
+	r.failing[i] = err != nil
+	if err != nil {
+		r.logger.Warn().Str("part", "spread").Str("kind", kind.String()).Err(err).Msg("source read failed")
+		return
+	}
+	r.logger.Info().Str("part", "spread").Str("kind", kind.String()).Msg("source read again")
+}
+
+// applyPending hands over the accepted versions in order, outside the lock.
+func (r *Runner) applyPending() {
+	r.mu.Lock()
+	applies := r.applies
+	r.applies = nil
+	r.mu.Unlock()
+	for _, a := range applies {
+		r.logger.Info().Str("part", "spread").Str("kind", a.Bundle.Kind.String()).
+			Str("version", a.Bundle.Version.String()).Str("hash", a.Bundle.Hash.String()).Msg("version applied")
+		if a.Accepted.Snapshot != nil {
+			r.applier.ApplyConfig(a.Accepted.Snapshot)
+		}
+		if a.Accepted.List != nil {
+			r.applier.ApplyHostList(a.Accepted.List)
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/world_test.go
@@ -0,0 +1,397 @@
+package spread
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"boragefall/internal/config"
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+	"boragefall/internal/platform"
+	"boragefall/internal/wire"
+)
+
+// failer is what *testing.T and *rapid.T share.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+// testDocument is the configuration of these tests.
+type testDocument struct {
+	Epoch uint64 `json:"epoch"`
+	Bad   bool   `json:"bad"`
+	Text  string `json:"text"`
+}
+
+// testAcceptor checks the files of testDocument; host lists are checked as ever.
+type testAcceptor struct{}
+
+func (testAcceptor) Accept(kind wire.DocumentKind, revision uint64, files []config.File) (Accepted, error) {
+	if kind == KindHostList {
+		return BuildAcceptor{}.Accept(kind, revision, files)
+	}
+	document := testDocument{}
+	for _, f := range files {
+		if err := json.Unmarshal(f.Data, &document); err != nil {
+			return Accepted{}, err
+		}
+	}
+	if document.Bad {
+		return Accepted{}, errors.New("bad document")
+	}
+	version := config.Version{Epoch: document.Epoch, Revision: revision}
+	return Accepted{Version: version, Snapshot: &config.Snapshot{Version: version}}, nil
+}
+
+// fakeSource stands for the platform: folders by kind, that may be out, stale
+// or restored.
+type fakeSource struct {
+	out      bool
+	stale    *[len(kinds)]platform.Folder // served instead of folders
+	folders  [len(kinds)]platform.Folder
+	accepted map[string]bool // kind, version and hash of each good folder
+	newest   [len(kinds)]config.Version
+}
+
+func (s *fakeSource) publish(i int, f platform.Folder) {
+	s.folders[i] = f
+	got, err := testAcceptor{}.Accept(kinds[i], f.Revision, f.Files)
+	if err != nil {
+		return
+	}
+	s.accepted[fmt.Sprint(i, got.Version, config.ManifestOf(f.Files).Hash())] = true
+	if s.newest[i].Less(got.Version) {
+		s.newest[i] = got.Version
+	}
+}
+
+func (s *fakeSource) folder(i int) platform.Folder {
+	if s.stale != nil {
+		return s.stale[i]
+	}
+	return s.folders[i]
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// process is one life of a node.
+type process struct {
+	m       *Machine
+	applied [len(kinds)]config.Version
+	heard   [len(kinds)]config.Version // newest that answering peers announced
+	cycles  []time.Time
+	watches []time.Time
+}
+
+type testNode struct {
+	listing     host.Listing
+	life        *process // nil is down
+	pausedUntil time.Time
+	group       int // nodes of different groups can't talk
+}
+
+// world runs machines over fake links in virtual time.
+type world struct {
+	t      failer
+	now    time.Time
+	random *rand.Rand
+	queue  eventQueue
+	order  int
+	nodes  []*testNode
+	source *fakeSource
+	loss   int // percent of messages lost
+	delay  time.Duration
+	reads  int
+	tune   func(*Config, host.Listing)
+	// published counts configuration folders, so that each differs.
+	published int
+}
+
+const (
+	tickEvery   = 100 * time.Millisecond
+	callTimeout = time.Second
+)
+
+func newWorld(t failer, seed uint64, nodes, centres int) *world {
+	w := &world{
+		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		delay:  5 * time.Millisecond,
+		source: &fakeSource{accepted: map[string]bool{}},
+	}
+	for i := range nodes {
+		centre := i % centres
+		w.nodes = append(w.nodes, &testNode{listing: host.Listing{
+			ID:      host.ID(fmt.Sprintf("h%04d", i)),
+			Address: fmt.Sprintf("10.%d.%d.%d:7000", centre, i/250, i%250),
+			Place: datacentre.Place{
+				Region: datacentre.Region(fmt.Sprint("r", centre%2)), DataCentre: datacentre.ID(fmt.Sprint("c", centre)),
+			},
+		}})
+	}
+	w.publishHosts(10)
+	w.publishConfig(10, testDocument{})
+	return w
+}
+
+func (w *world) publishConfig(revision uint64, d testDocument) {
+	w.published++
+	d.Text = fmt.Sprint("text ", w.published)
+	data, _ := json.Marshal(d)
+	w.source.publish(0, platform.Folder{Revision: revision, Files: []config.File{
+		{Name: "10-a.json", Data: []byte(`{"text":"base"}`)}, {Name: "20-b.json", Data: data},
+	}})
+}
+
+func (w *world) publishHosts(revision uint64) {
+	list := host.List{Revision: revision}
+	for _, n := range w.nodes {
+		list.Hosts = append(list.Hosts, n.listing)
+	}
+	list.Sort()
+	data, _ := json.Marshal(list)
+	w.source.publish(1, platform.Folder{Revision: revision, Files: []config.File{{Name: platform.HostListFile, Data: data}}})
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now.Add(d), order: w.order, do: do})
+}
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// start gives a node a new process that knows all other nodes as boot peers.
+func (w *world) start(n *testNode) {
+	cfg := Config{}
+	for _, other := range w.nodes {
+		cfg.BootPeers = append(cfg.BootPeers, other.listing.Address)
+	}
+	if w.tune != nil {
+		w.tune(&cfg, n.listing)
+	}
+	p := &process{m: NewMachine(cfg, n.listing, testAcceptor{}, rand.New(rand.NewPCG(w.random.Uint64(), 2)), w.now)}
+	n.life = p
+	n.pausedUntil = time.Time{}
+	var tick func()
+	tick = func() {
+		w.input(n, p, func() []Effect { return p.m.Tick(w.now) })
+		if n.life == p {
+			w.after(tickEvery, tick)
+		}
+	}
+	w.after(time.Duration(w.random.Int64N(int64(tickEvery))), tick)
+}
+
+func (w *world) startAll() {
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+}
+
+// input gives a process an input, after its pause when it is paused.
+func (w *world) input(n *testNode, p *process, do func() []Effect) {
+	if n.life != p {
+		return
+	}
+	if w.now.Before(n.pausedUntil) {
+		w.after(n.pausedUntil.Sub(w.now), func() { w.input(n, p, do) })
+		return
+	}
+	for _, e := range do() {
+		w.carryOut(n, p, e)
+	}
+}
+
+func (w *world) carryOut(n *testNode, p *process, e Effect) {
+	switch e := e.(type) {
+	case SendGossip:
+		w.exchange(n, p, e.Address,
+			func(to *process) any {
+				reply, effects := to.m.GossipReceived(w.now, proto.CloneOf(e.Message))
+				for _, more := range effects {
+					w.carryOut(w.nodeAt(e.Address), to, more)
+				}
+				return reply
+			},
+			func(reply any) []Effect {
+				w.hear(p, reply.(*wire.Gossip))
+				return p.m.GossipAnswered(w.now, e.Address, reply.(*wire.Gossip))
+			},
+			func() []Effect { return p.m.PeerFailed(w.now, e.Address) })
+	case SendPull:
+		w.exchange(n, p, e.Address,
+			func(to *process) any { return to.m.PullReceived(w.now, e.Message) },
+			func(answer any) []Effect { return p.m.PullAnswered(w.now, e.ID, answer.(*wire.PullAnswer)) },
+			func() []Effect { return p.m.PullFailed(w.now, e.ID) })
+	case ReadSource:
+		w.readSource(n, p, e)
+	case Apply:
+		w.checkApply(n, p, e)
+	}
+}
+
+// exchange carries a message there and its answer back, with loss, delay,
+// doubling and partitions.
+func (w *world) exchange(n *testNode, p *process, address string, there func(*process) any, back func(any) []Effect, failed func() []Effect) {
+	fail := func() { w.input(n, p, failed) }
+	if w.lost() {
+		w.after(callTimeout, fail)
+		return
+	}
+	w.after(w.latency(), func() {
+		to := w.nodeAt(address)
+		if to == nil || to.life == nil || to.group != n.group || w.now.Before(to.pausedUntil) {
+			w.after(callTimeout, fail)
+			return
+		}
+		answer := there(to.life)
+		if w.lost() {
+			w.after(callTimeout, fail)
+			return
+		}
+		copies := 1
+		if w.loss > 0 && w.random.IntN(10) == 0 {
+			copies = 2
+		}
+		for range copies {
+			w.after(w.latency(), func() { w.input(n, p, func() []Effect { return back(answer) }) })
+		}
+	})
+}
+
+func (w *world) lost() bool { return w.random.IntN(100) < w.loss }
+
+func (w *world) latency() time.Duration {
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(w.delay)))
+}
+
+func (w *world) nodeAt(address string) *testNode {
+	for _, n := range w.nodes {
+		if n.listing.Address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) readSource(n *testNode, p *process, e ReadSource) {
+	w.reads++
+	i, _ := kindIndex(e.Kind)
+	if e.Wait > 0 {
+		p.watches = append(p.watches, w.now)
+	} else if i == 0 {
+		p.cycles = append(p.cycles, w.now)
+	}
+	w.checkReads(n, p)
+	deadline := w.now.Add(e.Wait)
+	var poll func()
+	poll = func() {
+		folder := w.source.folder(i)
+		switch {
+		case w.source.out:
+			w.input(n, p, func() []Effect { return p.m.SourceFailed(w.now, e.Kind, platform.ErrOutage) })
+		case e.Wait == 0 || folder.Revision != e.After:
+			w.input(n, p, func() []Effect { return p.m.SourceRead(w.now, e.Kind, folder.Revision, folder.Files) })
+		case !w.now.Before(deadline):
+			w.input(n, p, func() []Effect { return p.m.SourceUnchanged(w.now, e.Kind) })
+		default:
+			w.after(20*time.Millisecond, poll)
+		}
+	}
+	w.after(w.latency(), poll)
+}
+
+// hear notes the versions that answered before the first apply.
+func (w *world) hear(p *process, reply *wire.Gossip) {
+	for _, d := range reply.GetDocuments() {
+		i, _ := kindIndex(d.GetKind())
+		if v := versionFromWire(d.GetVersion()); p.applied[i].IsZero() && p.heard[i].Less(v) {
+			p.heard[i] = v
+		}
+	}
+}
+
+// checkApply holds each applied version against the promises.
+func (w *world) checkApply(n *testNode, p *process, e Apply) {
+	i, _ := kindIndex(e.Bundle.Kind)
+	v := e.Bundle.Version
+	if !p.applied[i].Less(v) {
+		w.t.Fatalf("%s went back from %v to %v", n.listing.ID, p.applied[i], v)
+	}
+	if p.applied[i].IsZero() && v.Less(p.heard[i]) {
+		w.t.Fatalf("%s started with %v, a peer answered %v", n.listing.ID, v, p.heard[i])
+	}
+	if !w.source.accepted[fmt.Sprint(i, v, config.ManifestOf(e.Bundle.Files).Hash())] {
+		w.t.Fatalf("%s applied bytes of %v that were never accepted", n.listing.ID, v)
+	}
+	p.applied[i] = v
+}
+
+// checkReads holds a process's reads against its budget.
+func (w *world) checkReads(n *testNode, p *process) {
+	if c := p.cycles; len(c) > 1 && c[len(c)-1].Sub(c[len(c)-2]) < defaultCycleEvery {
+		w.t.Fatalf("%s read twice within %v", n.listing.ID, c[len(c)-1].Sub(c[len(c)-2]))
+	}
+	const perSecond = 2 * int(time.Second/readerPause)
+	if c := p.watches; len(c) > perSecond && c[len(c)-1].Sub(c[len(c)-1-perSecond]) < time.Second {
+		w.t.Fatalf("%s started over %d watches in a second", n.listing.ID, perSecond)
+	}
+}
+
+// behind lists the live nodes that lack the newest accepted versions.
+func (w *world) behind() []host.ID {
+	var out []host.ID
+	for _, n := range w.nodes {
+		if n.life != nil && n.life.applied != w.source.newest {
+			out = append(out, n.listing.ID)
+		}
+	}
+	return out
+}
+
+// settle runs until no live node is behind and returns how long that took.
+func (w *world) settle(limit time.Duration) time.Duration {
+	start := w.now
+	for len(w.behind()) > 0 {
+		if w.now.Sub(start) >= limit {
+			w.t.Fatalf("after %v these are behind: %v", limit, w.behind())
+		}
+		w.run(tickEvery)
+	}
+	return w.now.Sub(start)
+}
