Join identical requests in flight

Partners send again at once, so the same request often runs while its first send still does. A group keyed by the whole request lets the second wait for the first's answer. An answer too large to share goes to one waiter.

Conclusion: a caller that gives up early and sends again gets the first run's answer in place of starting over.

--- /dev/null
+++ b/internal/join/join_test.go
@@ -0,0 +1,219 @@
+package join
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/verdict"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+func TestJoin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "join")
+}
+
+const linger = 20 * time.Millisecond
+
+// plan is how the work of one key behaves.
+type plan struct {
+	lasts      time.Duration
+	shared     bool
+	idempotent bool
+}
+
+// visit is one caller's request.
+type visit struct {
+	key      int
+	arrives  time.Duration
+	patience time.Duration
+	value    string
+	err      error
+	ended    time.Duration
+}
+
+// fleet plays the visits in virtual time and records what happened.
+type fleet struct {
+	mu        sync.Mutex
+	plans     []plan
+	visits    []visit
+	running   map[int]int // runs in progress by key
+	most      map[int]int // the most at once
+	canceled  []int       // keys whose work saw its context end
+	discarded []string
+}
+
+func (f *fleet) work(key, serial int) func(context.Context) (Answer[string], error) {
+	return func(ctx context.Context) (Answer[string], error) {
+		f.mu.Lock()
+		f.running[key]++
+		f.most[key] = max(f.most[key], f.running[key])
+		f.mu.Unlock()
+		defer func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.running[key]--
+		}()
+		select {
+		case <-time.After(f.plans[key].lasts):
+			return Answer[string]{fmt.Sprintf("%d:%d", key, serial), f.plans[key].shared}, nil
+		case <-ctx.Done():
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.canceled = append(f.canceled, key)
+			return Answer[string]{}, ctx.Err()
+		}
+	}
+}
+
+func (f *fleet) play() {
+	g := NewGroup[int, string](Config[string]{Linger: linger, Discard: func(v string) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.discarded = append(f.discarded, v)
+	}})
+	begin := time.Now()
+	var wg sync.WaitGroup
+	for i := range f.visits {
+		v := &f.visits[i]
+		wg.Go(func() {
+			time.Sleep(v.arrives)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			defer time.AfterFunc(v.patience, cancel).Stop()
+			v.value, v.err = g.Do(ctx, Call[int, string]{v.key, f.plans[v.key].idempotent, f.work(v.key, i)})
+			v.ended = time.Since(begin)
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Hour) // lets what lingers end
+}
+
+// broken returns the first promise that a played fleet broke.
+func (f *fleet) broken() string {
+	given := map[string]int{}
+	for i, v := range f.visits {
+		p := f.plans[v.key]
+		left := verdict.Of(v.err) != nil && verdict.Of(v.err).Reason == verdict.ReasonCanceled
+		switch {
+		case v.err == nil && !strings.HasPrefix(v.value, fmt.Sprint(v.key, ":")):
+			return fmt.Sprintf("visit %d of key %d got %q", i, v.key, v.value)
+		case left && v.ended < v.arrives+v.patience:
+			return fmt.Sprintf("visit %d was cut off", i)
+		case v.err != nil && !left && (p.shared || !errors.Is(v.err, ErrNotShared)):
+			return fmt.Sprintf("visit %d failed: %v", i, v.err)
+		case v.ended > v.arrives+min(v.patience, p.lasts):
+			return fmt.Sprintf("visit %d ended late", i)
+		case v.err == nil:
+			given[v.value]++
+		}
+	}
+	for value, n := range given {
+		key := int(value[0] - '0')
+		if !f.plans[key].shared && n+strings.Count(strings.Join(f.discarded, " "), value) > 1 {
+			return fmt.Sprintf("unshared %q went to %d", value, n)
+		}
+	}
+	for key, p := range f.plans {
+		if !p.idempotent && (f.most[key] > 1 || slices.Contains(f.canceled, key)) {
+			return fmt.Sprintf("key %d ran twice at once or was cancelled", key)
+		}
+	}
+	return ""
+}
+
+func TestEachWaiterGetsOneWholeAnswerOfItsOwnKey(t *testing.T) {
+	ms := func(r *rapid.T, most int, label string) time.Duration {
+		// Odd and even offsets keep ends of work and of patience apart.
+		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * 2 * time.Millisecond
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		f := &fleet{running: map[int]int{}, most: map[int]int{}}
+		for range 3 {
+			f.plans = append(f.plans, plan{ms(r, 30, "lasts"), rapid.Bool().Draw(r, "shared"), rapid.Bool().Draw(r, "idempotent")})
+		}
+		for range rapid.IntRange(1, 12).Draw(r, "visits") {
+			f.visits = append(f.visits, visit{
+				key: rapid.IntRange(0, 2).Draw(r, "key"), arrives: ms(r, 30, "arrives"),
+				patience: ms(r, 40, "patience") + time.Millisecond,
+			})
+		}
+		synctest.Test(t, func(*testing.T) { f.play() })
+		if what := f.broken(); what != "" {
+			r.Fatal(what)
+		}
+	})
+}
+
+// lastLeaves counts the cancelled runs after the only waiter gave up and, when
+// again is positive, sent the same request that much later.
+func lastLeaves(t *testing.T, idempotent bool, again time.Duration) *fleet {
+	f := &fleet{
+		running: map[int]int{}, most: map[int]int{},
+		plans:  []plan{{100 * time.Millisecond, true, idempotent}},
+		visits: []visit{{arrives: 0, patience: 5 * time.Millisecond}},
+	}
+	if again > 0 {
+		f.visits = append(f.visits, visit{arrives: 5*time.Millisecond + again, patience: time.Second})
+	}
+	synctest.Test(t, func(*testing.T) { f.play() })
+	return f
+}
+
+func TestLastWaiterLeavesAnIdempotentRequest(t *testing.T) {
+	NewWithT(t).Expect(lastLeaves(t, true, 0).canceled).To(HaveLen(1))
+}
+
+func TestLastWaiterLeavesAKeyedRequest(t *testing.T) {
+	NewWithT(t).Expect(lastLeaves(t, false, 0).canceled).To(BeEmpty())
+}
+
+func TestCallerGivesUpAndSendsAgain(t *testing.T) {
+	f := lastLeaves(t, true, linger/2)
+	NewWithT(t).Expect(f.canceled).To(BeEmpty())
+	NewWithT(t).Expect(f.visits[1].value).To(Equal("0:0")) // the first run's answer
+}
+
+func TestPanickingWorkAnswersEveryWaiter(t *testing.T) {
+	g := NewGroup[int, string](Config[string]{})
+	_, err := g.Do(t.Context(), Call[int, string]{Work: func(context.Context) (Answer[string], error) { panic("x") }})
+	NewWithT(t).Expect(err).To(MatchError(ErrPanicked))
+	NewWithT(t).Expect(g.flights.Load()).To(BeZero())
+}
+
+func TestTooManyWaitersAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGroup[int, string](Config[string]{MaxWaiters: 1})
+		slow := Call[int, string]{Work: func(context.Context) (Answer[string], error) {
+			time.Sleep(time.Second)
+			return Answer[string]{"a", true}, nil
+		}}
+		go g.Do(t.Context(), slow)
+		synctest.Wait()
+		_, err := g.Do(t.Context(), slow)
+		NewWithT(t).Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		NewWithT(t).Expect(verdict.Of(err).RetryAfter).To(BeNumerically(">", 0))
+		time.Sleep(2 * time.Second)
+	})
+}
