gate: admit requests to one backend server

Cause: the last hop must enforce the cold limit, leaving, load and the quarantine on its own knowledge. Change: the exported API and a first whole version: limiter (cold start, ramp on good answers, adaptive limit, hints, probation), queue (priority, fair per caller), quarantine with isolation, planned stop. Tests named for failures, in virtual time.

--- /dev/null
+++ b/internal/gate/admit.go
@@ -0,0 +1,267 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"boragefall/internal/verdict"
+)
+
+// refusal returns why a new request is not even queued, or nil.
+func (g *Gate) refusal(ctx context.Context, r Request, deadline, now time.Time) error {
+	if g.leaving {
+		return g.refuse(verdict.ReasonLeaving, now)
+	}
+	if ctx.Err() != nil {
+		return g.refuse(verdict.ReasonCanceled, now)
+	}
+	if !deadline.IsZero() && !now.Before(deadline) {
+		return g.refuse(verdict.ReasonDeadline, now)
+	}
+	if r.Crashes == 0 && g.quarantine.empty() {
+		return nil
+	}
+	if left := g.quarantine.convictedFor(r.Fingerprint, now); left > 0 {
+		return g.refuseConvicted(left)
+	}
+	if g.quarantine.atLeast(r.Fingerprint, r.Crashes, now) {
+		return g.refuseConvicted(g.cfg.QuarantineFor)
+	}
+	return nil
+}
+
+// refuse returns the refusal of a request that holds no permit.
+func (g *Gate) refuse(reason verdict.Reason, now time.Time) error {
+	// Proof of NotRun: only the holder of a permit sends to the server, and this
+	// attempt was given none.
+	return verdict.Refuse(reason, g.retryAfter(now))
+}
+
+// refuseConvicted returns the refusal of a request in quarantine.
+func (g *Gate) refuseConvicted(left time.Duration) error {
+	// Proof of NotRun: this attempt was given no permit. Earlier attempts did
+	// run; what became of them is the verdict of their own answers.
+	return verdict.Refuse(verdict.ReasonQuarantined, min(left, g.cfg.MaxRetryAfter))
+}
+
+// busyReason says why there is no slot.
+func (g *Gate) busyReason() verdict.Reason {
+	if g.limiter.warm && g.limiter.probation == 0 {
+		return verdict.ReasonOverloaded
+	}
+	return verdict.ReasonCold
+}
+
+// retryAfter estimates when a slot is free for a request that is refused now,
+// with jitter so that the refused do not return together.
+func (g *Gate) retryAfter(now time.Time) time.Duration {
+	ahead := g.running.count + g.waiting() + 1
+	estimate := time.Duration(ahead) * g.occupancy.get() / time.Duration(g.limiter.current(now))
+	jittered := estimate/2 + rand.N(estimate+g.cfg.MinRetryAfter)
+	return min(max(jittered, g.cfg.MinRetryAfter), g.cfg.MaxRetryAfter)
+}
+
+// doubtIdle makes the server prove itself again after nothing ran for a time,
+// since a restart in that time went unseen.
+func (g *Gate) doubtIdle(now time.Time) {
+	if g.running.count > 0 || g.lastEnded.IsZero() || now.Sub(g.lastEnded) < g.cfg.IdleAfter {
+		return
+	}
+	if g.limiter.limit > g.cfg.Service.ColdLimit && g.limiter.probation == 0 {
+		g.limiter.doubt(causeIdle)
+	}
+}
+
+// room reports whether a request that is not suspect may start now.
+func (g *Gate) room(now time.Time) bool {
+	if g.running.overdue(now, g.limiter.epoch) {
+		g.limiter.turnCold(causeOverdue)
+	}
+	return g.running.count < g.isolation.limit(g.limiter.current(now))
+}
+
+// start gives out a permit.
+func (g *Gate) start(r Request, acc *account, now time.Time) *Permit {
+	g.sequence++
+	p := &Permit{
+		gate: g, request: r, account: acc, started: now, charged: g.occupancy.get(),
+		sequence: g.sequence, epoch: g.limiter.epoch, limit: g.limiter.limit,
+	}
+	if b := g.limiter.latency.class(r.Class); b.established() {
+		p.slowAt = now.Add(overdueFactor * b.slowLimit())
+	}
+	g.accounts.charge(acc, p.charged)
+	g.running.add(p)
+	if g.running.count >= p.limit {
+		g.fullSequence, g.fullLimit = p.sequence, p.limit
+	}
+	return p
+}
+
+// enqueue adds a waiter, or answers it when it can't be served in time or the
+// queue is full of others.
+func (g *Gate) enqueue(w *waiter, now time.Time) {
+	if w.suspect {
+		g.enqueueSuspect(w, now)
+		return
+	}
+	if w.expired(now, g.expectedWait(w, now)+g.expectedService(w)) {
+		w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
+		return
+	}
+	if g.waiting() >= g.cfg.Service.QueueLimit {
+		evicted := g.queue.victim(w)
+		if evicted == nil {
+			evicted = w
+		} else {
+			g.queue.remove(evicted)
+		}
+		evicted.reply(admission{err: g.refuse(g.busyReason(), now)})
+	}
+	if !w.answered {
+		g.queue.push(w)
+	}
+}
+
+func (g *Gate) enqueueSuspect(w *waiter, now time.Time) {
+	if !g.isolation.admits(w.request.Fingerprint) {
+		w.reply(admission{err: g.refuse(verdict.ReasonQuarantined, now)})
+		return
+	}
+	g.isolation.push(w)
+}
+
+// expectedWait estimates how long a waiter waits for its slot.
+func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
+	rounds := g.queue.ahead(w.account, w.rank) + 1
+	return time.Duration(rounds) * g.occupancy.get() / time.Duration(g.limiter.current(now))
+}
+
+// expectedService estimates how long a waiter's request runs; 0 if unknown.
+func (g *Gate) expectedService(w *waiter) time.Duration {
+	return g.limiter.latency.class(w.request.Class).typical()
+}
+
+// dispatch starts waiting requests while there is room.
+func (g *Gate) dispatch(now time.Time) {
+	if g.leaving {
+		return
+	}
+	g.dispatchSuspect(now)
+	for g.queue.total > 0 && g.room(now) {
+		w := g.queue.pop()
+		if g.divert(w, now) {
+			continue
+		}
+		w.reply(admission{permit: g.start(w.request, w.account, now)})
+	}
+	g.setWake(now)
+}
+
+// divert answers or moves a waiter that must not start now as it is.
+func (g *Gate) divert(w *waiter, now time.Time) bool {
+	if left := g.quarantine.convictedFor(w.request.Fingerprint, now); left > 0 {
+		w.reply(admission{err: g.refuseConvicted(left)})
+		return true
+	}
+	// With others waiting, a slot is not spent on work that can't finish. With
+	// none it is, or a wrong estimate would never be corrected.
+	if w.expired(now, 0) || g.queue.total > 0 && w.expired(now, g.expectedService(w)) {
+		w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
+		return true
+	}
+	if !w.suspect && g.quarantine.suspected(w.request.Fingerprint, now) {
+		w.suspect = true
+		g.enqueueSuspect(w, now)
+		g.dispatchSuspect(now)
+		return true
+	}
+	return false
+}
+
+// dispatchSuspect starts a suspect if its turn has come.
+func (g *Gate) dispatchSuspect(now time.Time) {
+	for {
+		room := g.running.count < min(g.limiter.current(now), g.cfg.Service.ColdLimit)
+		w := g.isolation.next(now, room)
+		if w == nil {
+			return
+		}
+		if g.divert(w, now) {
+			continue
+		}
+		p := g.start(w.request, w.account, now)
+		g.isolation.started(p, now)
+		w.reply(admission{permit: p})
+		return
+	}
+}
+
+// setWake arranges the next step of the isolation.
+func (g *Gate) setWake(now time.Time) {
+	at := g.isolation.wakeAt()
+	if at.IsZero() {
+		return
+	}
+	wait := max(at.Sub(now), 0)
+	if g.wake == nil {
+		g.wake = time.AfterFunc(wait, g.awake)
+		return
+	}
+	g.wake.Reset(wait)
+}
+
+func (g *Gate) awake() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	g.dispatch(now)
+}
+
+// await waits for a waiter's answer, its deadline or the end of ctx.
+func (g *Gate) await(ctx context.Context, w *waiter) (*Permit, error) {
+	limit := w.since.Add(g.cfg.MaxQueueWait)
+	reason := verdict.ReasonUnspecified
+	if !w.deadline.IsZero() && w.deadline.Before(limit) {
+		limit, reason = w.deadline, verdict.ReasonDeadline
+	}
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case a := <-w.answer:
+		return a.permit, a.err
+	case <-timer.C:
+		return g.giveUp(w, reason)
+	case <-ctx.Done():
+		return g.giveUp(w, verdict.ReasonCanceled)
+	}
+}
+
+// giveUp takes a waiter out of the queue. If it was answered meanwhile, that
+// answer stands.
+func (g *Gate) giveUp(w *waiter, reason verdict.Reason) (*Permit, error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	if w.answered {
+		a := <-w.answer
+		return a.permit, a.err
+	}
+	g.queue.remove(w)
+	g.isolation.remove(w)
+	if reason == verdict.ReasonUnspecified {
+		reason = g.busyReason()
+	}
+	w.reply(admission{err: g.refuse(reason, now)})
+	a := <-w.answer
+	g.dispatch(now)
+	return nil, a.err
+}
+
+// refuseWaiting answers all waiters because the host leaves.
+func (g *Gate) refuseWaiting(now time.Time) {
+	for _, w := range append(g.queue.drop(), g.isolation.drop()...) {
+		w.reply(admission{err: g.refuse(verdict.ReasonLeaving, now)})
+	}
+}
--- /dev/null
+++ b/internal/gate/config.go
@@ -0,0 +1,119 @@
+package gate
+
+import (
+	"time"
+
+	"boragefall/internal/config"
+)
+
+// Config sets up a gate. Fields that are zero take their default.
+type Config struct {
+	// Service describes the backend server: slots, connections, cold limit,
+	// queue limit and good answers until warm. Its own defaults apply.
+	Service config.Service
+	// MaxQueueWait bounds how long a request waits for a slot. Default 1 s.
+	MaxQueueWait time.Duration
+	// MinRetryAfter is the least Retry-After of a refusal. Default 50 ms.
+	MinRetryAfter time.Duration
+	// MaxRetryAfter is the greatest Retry-After of a refusal. Default 5 s.
+	MaxRetryAfter time.Duration
+	// IdleAfter is how long nothing runs until the server has to prove again
+	// that it is the same and warm. Default 1 s.
+	IdleAfter time.Duration
+	// PauseAfter is the least process pause after which the server has to prove
+	// the same. Default 1 s.
+	PauseAfter time.Duration
+	// ProbationAnswers is the number of good answers that end a probation.
+	// Default 3 answers.
+	ProbationAnswers int
+	// HintTTL is how long a hint lowers the limit. Default 3 s.
+	HintTTL time.Duration
+	// HintDistrust is the number of good answers in a row that make the gate
+	// ignore an unhealthy hint. Default 20 answers.
+	HintDistrust int
+	// QuarantineFor is how long a convicted fingerprint is refused, and how
+	// long a suspect one is remembered. Default 10 min.
+	QuarantineFor time.Duration
+	// QuarantineSize bounds the convicted fingerprints, and apart from them the
+	// suspect ones. Default 1024 fingerprints.
+	QuarantineSize int
+	// SuspectHold bounds how long other requests are held back so that a
+	// suspect can start. Default 250 ms.
+	SuspectHold time.Duration
+	// SuspectAlone bounds how long a running suspect holds the limit at the
+	// cold limit. Default 1 s.
+	SuspectAlone time.Duration
+	// AbandonedFor is how long a canceled or timed-out request counts as
+	// possibly still running on the server. Default 2 s.
+	AbandonedFor time.Duration
+	// Callers bounds the callers whose accrued service time is remembered.
+	// Default 4096 callers.
+	Callers int
+	// ShareHalfLife is the time in which a caller's lead in accrued service
+	// time over the others halves. Default 10 s.
+	ShareHalfLife time.Duration
+}
+
+// Defaults of Config and of config.Service.
+const (
+	defaultMaxQueueWait     = time.Second
+	defaultMinRetryAfter    = 50 * time.Millisecond
+	defaultMaxRetryAfter    = 5 * time.Second
+	defaultIdleAfter        = time.Second
+	defaultPauseAfter       = time.Second
+	defaultProbationAnswers = 3
+	defaultHintTTL          = 3 * time.Second
+	defaultHintDistrust     = 20
+	defaultQuarantineFor    = 10 * time.Minute
+	defaultQuarantineSize   = 1024
+	defaultSuspectHold      = 250 * time.Millisecond
+	defaultSuspectAlone     = time.Second
+	defaultAbandonedFor     = 2 * time.Second
+	defaultCallers          = 4096
+	defaultShareHalfLife    = 10 * time.Second
+
+	defaultColdLimit      = 1
+	queuePerSlot          = 2
+	warmAnswersPerSlot    = 20
+	defaultConnectionsPer = 1
+)
+
+// withDefaults returns the configuration with every zero field filled in.
+func (c Config) withDefaults() Config {
+	c.Service = serviceDefaults(c.Service)
+	fill(&c.MaxQueueWait, defaultMaxQueueWait)
+	fill(&c.MinRetryAfter, defaultMinRetryAfter)
+	fill(&c.MaxRetryAfter, defaultMaxRetryAfter)
+	fill(&c.IdleAfter, defaultIdleAfter)
+	fill(&c.PauseAfter, defaultPauseAfter)
+	fill(&c.ProbationAnswers, defaultProbationAnswers)
+	fill(&c.HintTTL, defaultHintTTL)
+	fill(&c.HintDistrust, defaultHintDistrust)
+	fill(&c.QuarantineFor, defaultQuarantineFor)
+	fill(&c.QuarantineSize, defaultQuarantineSize)
+	fill(&c.SuspectHold, defaultSuspectHold)
+	fill(&c.SuspectAlone, defaultSuspectAlone)
+	fill(&c.AbandonedFor, defaultAbandonedFor)
+	fill(&c.Callers, defaultCallers)
+	fill(&c.ShareHalfLife, defaultShareHalfLife)
+	c.MaxRetryAfter = max(c.MaxRetryAfter, c.MinRetryAfter)
+	return c
+}
+
+// serviceDefaults fills in and bounds the fields that the gate uses.
+func serviceDefaults(s config.Service) config.Service {
+	s.Slots = max(s.Slots, 1)
+	fill(&s.Connections, s.Slots*defaultConnectionsPer)
+	s.Slots = min(s.Slots, s.Connections)
+	fill(&s.ColdLimit, defaultColdLimit)
+	s.ColdLimit = min(s.ColdLimit, s.Slots)
+	fill(&s.QueueLimit, queuePerSlot*s.Slots)
+	fill(&s.WarmAfter, warmAnswersPerSlot*s.Slots)
+	return s
+}
+
+func fill[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,262 @@
+// Package gate decides, beside one backend server, which requests that server
+// runs and when.
+//
+// The gate sees every request for its server, keeps all it knows in memory and
+// does no I/O. It starts cold and raises its limit only on good answers to real
+// work. Beyond the limit requests wait for a short time, by priority and fairly
+// between callers. Whatever it refuses it refuses at once, with the verdict
+// NotRun: a request reaches the server only with a Permit.
+package gate
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+)
+
+// Gate admits requests to one backend server. It is safe for concurrent use.
+type Gate struct {
+	logger *log.Logger
+	load   packedLoad
+
+	mu         sync.Mutex
+	cfg        Config
+	limiter    *limiter
+	queue      queue
+	accounts   *accounts
+	quarantine *quarantine
+	isolation  isolation
+	running    runningList
+	occupancy  meanTime
+	leaving    bool
+	// sequence counts admissions.
+	sequence uint64
+	// fullSequence is the latest admission that took the last slot, under the
+	// limiter's limit fullLimit.
+	fullSequence uint64
+	fullLimit    int
+	// crashSequence and crashedAt identify the latest crash of the server.
+	crashSequence uint64
+	crashedAt     time.Time
+	// lastEnded is when the last request ended.
+	lastEnded time.Time
+	// drained is closed when nothing runs or waits; nil if nobody asks.
+	drained chan struct{}
+	// wake moves the isolation on when nothing else happens.
+	wake *time.Timer
+	// loggedEpoch and loggedWarm are what the log last said.
+	loggedEpoch uint64
+	loggedWarm  bool
+}
+
+// New returns a gate at the cold limit. A nil logger logs nothing.
+func New(cfg Config, logger *log.Logger) *Gate {
+	cfg = cfg.withDefaults()
+	if logger == nil {
+		logger = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	}
+	g := &Gate{
+		logger:     logger,
+		cfg:        cfg,
+		limiter:    newLimiter(cfg),
+		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife),
+		quarantine: newQuarantine(cfg),
+		isolation:  isolation{cfg: cfg},
+	}
+	g.publish(time.Now())
+	return g
+}
+
+// Admit waits for a slot and returns the permit to send the request. Its error
+// is a *verdict.Error with the verdict NotRun and a Retry-After.
+func (g *Gate) Admit(ctx context.Context, r Request) (*Permit, error) {
+	now := time.Now()
+	deadline := earliest(ctx, r.Deadline)
+	g.mu.Lock()
+	if err := g.refusal(ctx, r, deadline, now); err != nil {
+		g.unlock(now)
+		return nil, err
+	}
+	g.doubtIdle(now)
+	acc := g.accounts.of(r.Caller, r.Weight, now)
+	suspect := g.quarantine.suspected(r.Fingerprint, now)
+	if !suspect && g.queue.total == 0 && g.room(now) {
+		p := g.start(r, acc, now)
+		g.unlock(now)
+		return p, nil
+	}
+	w := &waiter{
+		request: r, rank: rankOf(r.Priority), account: acc, since: now,
+		deadline: deadline, suspect: suspect, answer: make(chan admission, 1),
+	}
+	g.enqueue(w, now)
+	g.dispatch(now)
+	g.unlock(now)
+	return g.await(ctx, w)
+}
+
+// SetService takes in new settings of the service.
+func (g *Gate) SetService(s config.Service) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	g.cfg.Service = serviceDefaults(s)
+	g.limiter.setService(g.cfg.Service)
+	g.isolation.cfg.Service = g.cfg.Service
+	g.dispatch(now)
+}
+
+// SetLeaving makes the gate refuse waiting and new requests, or accept them
+// again from the cold limit. What runs goes on.
+func (g *Gate) SetLeaving(leaving bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	if g.leaving == leaving {
+		return
+	}
+	g.leaving = leaving
+	if leaving {
+		g.refuseWaiting(now)
+		return
+	}
+	g.limiter.turnCold(causeReturned)
+}
+
+// Hint takes in what the server's health and load endpoints say.
+func (g *Gate) Hint(h Hint) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	g.limiter.hinted(h, now)
+}
+
+// Paused tells the gate that its process did not run for a time. The server
+// may have restarted meanwhile: it gets the cold limit until a few good
+// answers show that it is the same process.
+func (g *Gate) Paused(gap time.Duration) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.unlock(now)
+	if gap >= g.cfg.PauseAfter {
+		g.limiter.doubt(causePaused)
+	}
+}
+
+// Load returns how busy the server is. It takes no lock.
+func (g *Gate) Load() Load {
+	return g.load.load()
+}
+
+// Drain waits until nothing runs or waits, or returns ErrNotDrained when ctx
+// ends first. It refuses nothing itself; SetLeaving does.
+func (g *Gate) Drain(ctx context.Context) error {
+	now := time.Now()
+	g.mu.Lock()
+	if g.drained == nil {
+		g.drained = make(chan struct{})
+	}
+	drained := g.drained
+	g.unlock(now)
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrapf(ErrNotDrained, "%v, %d running", ctx.Err(), g.Load().Running)
+	}
+}
+
+// Quarantine returns the fingerprints that this gate convicted itself, for the
+// other gates of the service.
+func (g *Gate) Quarantine() []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.own(time.Now())
+}
+
+// Convict takes in a fingerprint that another gate of the service convicted.
+func (g *Gate) Convict(fp uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.heard(fp, now)
+}
+
+// Suspects returns the fingerprints that were on the server when it crashed
+// and have not run well since.
+func (g *Gate) Suspects() []uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.suspectList(time.Now())
+}
+
+// Suspect takes in a fingerprint that was on another server of the service
+// when that crashed: here it runs under isolation first.
+func (g *Gate) Suspect(fp uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.quarantine.convictedFor(fp, now) == 0 {
+		g.quarantine.atLeast(fp, 1, now)
+	}
+}
+
+// unlock publishes the load, releases the mutex and then logs what changed.
+func (g *Gate) unlock(now time.Time) {
+	g.publish(now)
+	if g.drained != nil && g.running.count+g.waiting() == 0 {
+		close(g.drained)
+		g.drained = nil
+	}
+	l := g.limiter
+	turned, warmed := l.epoch != g.loggedEpoch, l.warm && !g.loggedWarm
+	doubted, cause := l.probation > 0, l.cause
+	g.loggedEpoch, g.loggedWarm = l.epoch, l.warm
+	g.mu.Unlock()
+	if turned || warmed {
+		g.logTurn(warmed, doubted, cause)
+	}
+}
+
+func (g *Gate) logTurn(warmed, doubted bool, cause string) {
+	switch {
+	case warmed:
+		g.logger.Info().Str("part", "gate").Msg("server is warm")
+	case doubted:
+		g.logger.Debug().Str("part", "gate").Str("cause", cause).Msg("server must prove itself")
+	default:
+		g.logger.Info().Str("part", "gate").Str("cause", cause).Msg("back to the cold limit")
+	}
+}
+
+func (g *Gate) publish(now time.Time) {
+	state := g.limiter.state()
+	if g.leaving {
+		state = host.StateLeaving
+	}
+	g.load.store(Load{
+		Running: g.running.count,
+		Queued:  g.waiting(),
+		Limit:   g.limiter.current(now),
+		State:   state,
+	})
+}
+
+// waiting returns the number of requests that wait for a slot.
+func (g *Gate) waiting() int {
+	return g.queue.total + len(g.isolation.waiting)
+}
+
+// earliest returns the earlier of the context's and the request's deadline.
+func earliest(ctx context.Context, deadline time.Time) time.Time {
+	fromContext, ok := ctx.Deadline()
+	if ok && (deadline.IsZero() || fromContext.Before(deadline)) {
+		return fromContext
+	}
+	return deadline
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,140 @@
+package gate
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+	"boragefall/internal/verdict"
+)
+
+// TestMain fixes the seed of the properties unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestGate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gate")
+}
+
+const (
+	testSlots   = 10
+	testLatency = 10 * time.Millisecond
+	testBoot    = "boot-1"
+)
+
+func testConfig() Config {
+	return Config{Service: config.Service{Slots: testSlots, Connections: 120, ColdLimit: 2}}
+}
+
+func good() Outcome {
+	return Outcome{Kind: OutcomeGood, Latency: testLatency, BootID: testBoot}
+}
+
+// admitNow admits with no more than an instant of waiting.
+func admitNow(g *Gate, r Request) (*Permit, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	time.AfterFunc(time.Nanosecond, cancel)
+	return g.Admit(ctx, r)
+}
+
+// fillSlots takes every slot that is free now.
+func fillSlots(g *Gate) []*Permit {
+	var permits []*Permit
+	for load := g.Load(); load.Running < load.Limit; load = g.Load() {
+		p, err := g.Admit(context.Background(), Request{Caller: "crew"})
+		if err != nil {
+			break
+		}
+		permits = append(permits, p)
+	}
+	return permits
+}
+
+// round runs one full house of requests to the same outcome.
+func round(g *Gate, o Outcome) int {
+	permits := fillSlots(g)
+	time.Sleep(o.Latency)
+	for _, p := range permits {
+		p.Done(o)
+	}
+	return len(permits)
+}
+
+// warmUp raises a gate to its full limit by good answers.
+func warmUp(g *Gate) {
+	for g.Load().State != host.StateWarm || g.Load().Limit < testSlots {
+		round(g, good())
+	}
+}
+
+func reasonOf(err error) verdict.Reason {
+	Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	Expect(verdict.Of(err).RetryAfter).To(BeNumerically(">", 0))
+	return verdict.Of(err).Reason
+}
+
+func TestStartsColdAndWarmsOnGoodAnswersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		g := New(testConfig(), nil)
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
+		time.Sleep(time.Hour)
+		g.Hint(Hint{Healthy: true, BootID: testBoot})
+		for range 50 {
+			Expect(round(g, Outcome{Kind: OutcomeError, Latency: testLatency})).To(Equal(2))
+		}
+		answers := 0
+		for g.Load().State != host.StateWarm {
+			answers += round(g, good())
+		}
+		Expect(answers).To(BeNumerically(">=", 20*testSlots))
+		Expect(g.Load().Limit).To(Equal(testSlots))
+	})
+}
+
+func TestLeavingRefusesWaitersAndDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		g := New(testConfig(), nil)
+		running := fillSlots(g)
+		waiter := make(chan error)
+		go func() {
+			_, err := g.Admit(context.Background(), Request{Caller: "crew"})
+			waiter <- err
+		}()
+		synctest.Wait()
+		Expect(g.Load().Queued).To(Equal(1))
+		g.SetLeaving(true)
+		Expect(reasonOf(<-waiter)).To(Equal(verdict.ReasonLeaving))
+		_, err := g.Admit(context.Background(), Request{Caller: "crew"})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonLeaving))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Expect(g.Drain(ctx)).To(MatchError(ErrNotDrained))
+		drained := make(chan error)
+		go func() { drained <- g.Drain(context.Background()) }()
+		for _, p := range running {
+			p.Done(good())
+		}
+		Expect(<-drained).To(Succeed())
+		g.SetLeaving(false)
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
+	})
+}
--- /dev/null
+++ b/internal/gate/latency.go
@@ -0,0 +1,166 @@
+package gate
+
+import (
+	"math"
+	"math/bits"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxClasses bounds the request classes with a baseline.
+	maxClasses = 64
+	// baselineSamples is the number of answers until a baseline counts.
+	baselineSamples = 10
+	// baselineStep is the least step of a baseline, as a share of the latency.
+	baselineStep = 0.02
+	// highQuantile is the quantile that bounds ordinary latency.
+	highQuantile = 0.9
+	// medianFactor and highFactor make an answer slow when its latency exceeds
+	// both multiples: of the median and of the high quantile.
+	medianFactor = 3.0
+	highFactor   = 2.0
+	// minSlowdown is the least excess over the median that is slow.
+	minSlowdown = 2 * time.Millisecond
+	// overdueFactor makes a running request overdue at this multiple of slow.
+	overdueFactor = 2
+	// voteWindow is the number of latest answers that vote on slowness, and
+	// votesToAlarm the number of slow ones that raise the alarm.
+	voteWindow   = 7
+	votesToAlarm = 4
+	// meanWeight is the weight of one answer in the mean service time.
+	meanWeight = 0.1
+)
+
+// baseline tracks the median and a high quantile of one class's latency, in
+// the logarithm of seconds. Each answer moves an estimate by a bounded step
+// whatever its size, so outliers can't drag it (frugal streaming: Ma,
+// Muthukrishnan and Sandler 2013).
+type baseline struct {
+	samples int
+	median  float64
+	high    float64
+}
+
+func (b *baseline) add(latency time.Duration) {
+	value := math.Log(max(latency, time.Microsecond).Seconds())
+	b.samples++
+	if b.samples == 1 {
+		b.median, b.high = value, value
+		return
+	}
+	step := max(baselineStep, 1/float64(b.samples))
+	b.median += step * quantileMove(value, b.median, 0.5) * 2
+	b.high += step * quantileMove(value, b.high, highQuantile)
+	b.high = max(b.high, b.median)
+}
+
+// quantileMove returns the direction in which a quantile's estimate moves.
+func quantileMove(value, estimate, quantile float64) float64 {
+	switch {
+	case value > estimate:
+		return quantile
+	case value < estimate:
+		return quantile - 1
+	default:
+		return 0
+	}
+}
+
+// established reports whether the baseline has seen enough answers.
+func (b *baseline) established() bool {
+	return b != nil && b.samples >= baselineSamples
+}
+
+// typical returns the median latency, or 0 while unknown.
+func (b *baseline) typical() time.Duration {
+	if !b.established() {
+		return 0
+	}
+	return seconds(math.Exp(b.median))
+}
+
+// slowLimit returns the latency above which an answer is slow.
+func (b *baseline) slowLimit() time.Duration {
+	median := math.Exp(b.median)
+	limit := max(medianFactor*median, highFactor*math.Exp(b.high))
+	return max(seconds(limit), seconds(median)+minSlowdown)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+// latencies watches the latency of answers per class and says when the server
+// as a whole turned slow: each answer is compared with its own class, and the
+// comparisons vote, so that a change in the mix of classes is no alarm.
+type latencies struct {
+	classes *simplelru.LRU[string, *baseline]
+	votes   uint8
+}
+
+func newLatencies() *latencies {
+	classes, err := simplelru.NewLRU[string, *baseline](maxClasses, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &latencies{classes: classes}
+}
+
+// class returns the baseline of a class, or nil if there is none.
+func (l *latencies) class(name string) *baseline {
+	b, _ := l.classes.Get(name)
+	return b
+}
+
+// observe takes in one answer's latency and reports whether it was slow.
+func (l *latencies) observe(class string, latency time.Duration) bool {
+	b := l.class(class)
+	if b == nil {
+		b = &baseline{}
+		l.classes.Add(class, b)
+	}
+	slow := false
+	if b.established() {
+		slow = latency > b.slowLimit()
+		l.vote(slow)
+	}
+	b.add(latency)
+	return slow
+}
+
+func (l *latencies) vote(slow bool) {
+	l.votes <<= 1
+	if slow {
+		l.votes |= 1
+	}
+	l.votes &= 1<<voteWindow - 1
+}
+
+// alarm reports whether most of the latest answers were slow.
+func (l *latencies) alarm() bool {
+	return bits.OnesCount8(l.votes) >= votesToAlarm
+}
+
+// clearVotes forgets the votes after an alarm or a crash.
+func (l *latencies) clearVotes() {
+	l.votes = 0
+}
+
+// meanTime is a moving mean of how long requests hold a slot.
+type meanTime struct {
+	seconds float64
+}
+
+func (m *meanTime) add(d time.Duration) {
+	if m.seconds == 0 {
+		m.seconds = d.Seconds()
+	}
+	m.seconds += meanWeight * (d.Seconds() - m.seconds)
+}
+
+// get returns the mean, 0 while unknown.
+func (m *meanTime) get() time.Duration {
+	return seconds(m.seconds)
+}
