--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -19,29 +19,43 @@
 // Client sends requests to one backend server over pooled connections.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 }
 
 // NewClient returns a client of the server that cfg names.
 func NewClient(cfg Config) *Client {
-	cfg = cfg.withDefaults()
-	dialer := net.Dialer{Timeout: cfg.DialTimeout}
-	return &Client{
-		cfg: cfg,
-		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     cfg.Connections,
-			MaxIdleConns:        cfg.Connections,
-			MaxIdleConnsPerHost: cfg.Connections,
-			IdleConnTimeout:     cfg.IdleTimeout,
-			DisableCompression:  true,
-		},
+	c := &Client{cfg: cfg.withDefaults()}
+	c.transport.Store(c.newTransport(c.cfg.Connections))
+	return c
+}
+
+func (c *Client) newTransport(connections int) *http.Transport {
+	dialer := net.Dialer{Timeout: c.cfg.DialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConns:        connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     c.cfg.IdleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// SetConnections changes the cap on connections. Connections of the old cap
+// close once they are idle.
+func (c *Client) SetConnections(connections int) {
+	old := c.transport.Load()
+	if old.MaxConnsPerHost == connections {
+		return
+	}
+	if c.transport.CompareAndSwap(old, c.newTransport(connections)) {
+		old.CloseIdleConnections()
 	}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.transport.Load().CloseIdleConnections()
 }
 
 // Do sends a request and returns the answer once its headers are there. Its
@@ -53,7 +67,7 @@
 		// Proof: nothing was sent, the request could not even be formed.
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, err)
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := c.transport.Load().RoundTrip(request)
 	if err != nil {
 		return nil, classify(ctx, progress, err)
 	}
--- a/internal/backend/config.go
+++ b/internal/backend/config.go
@@ -6,7 +6,8 @@
 type Config struct {
 	// Address is the server's address, IP:port. Required.
 	Address string
-	// Connections caps the connections to the server. Required.
+	// Connections caps the connections to the server until SetConnections
+	// is called. Default 8.
 	Connections int
 	// DialTimeout bounds the opening of a connection. Default 1 s.
 	DialTimeout time.Duration
@@ -17,11 +18,15 @@
 }
 
 const (
+	defaultConnections = 8
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 20 * time.Second
 )
 
 func (c Config) withDefaults() Config {
+	if c.Connections == 0 {
+		c.Connections = defaultConnections
+	}
 	if c.DialTimeout == 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,90 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/verdict"
+)
+
+// copyBytes is the size of the buffers that answers pass through.
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// answer passes a backend server's answer on. An answer that breaks off breaks
+// the caller's connection too, so that it can't pass for a whole one.
+func (x *exchange) answer(a *contract.Answer) {
+	defer func() { _ = a.Body.Close() }()
+	writer := x.c.Writer
+	header := writer.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	header.Set(contract.HeaderRequestID, x.request.ID)
+	header.Set(contract.HeaderVerdict, verdict.Ran.String())
+	if a.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	writer.WriteHeader(a.Status)
+	writer.WriteHeaderNow()
+	if err := x.copyBody(a); err != nil {
+		x.handler.cfg.Logger.Warn().Str("part", "caller").Str("request", x.request.ID).Err(err).Msg("answer cut")
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range a.Trailer() {
+		header[http.TrailerPrefix+name] = values
+	}
+	x.handler.cfg.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
+}
+
+func (x *exchange) copyBody(a *contract.Answer) error {
+	if x.request.Method == http.MethodHead || !bodyAllowed(a.Status) {
+		return nil
+	}
+	buffer := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := a.Body.Read(buffer[:])
+		if n > 0 {
+			if _, writeErr := x.c.Writer.Write(buffer[:n]); writeErr != nil {
+				return writeErr
+			}
+			if a.ContentLength < 0 {
+				x.c.Writer.Flush()
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// refuse tells the caller the final verdict, at once.
+func (x *exchange) refuse(e *verdict.Error) {
+	header := x.c.Writer.Header()
+	header.Set(contract.HeaderVerdict, e.Verdict.String())
+	header.Set(contract.HeaderReason, e.Reason.String())
+	if wait := e.RetryAfter; wait > 0 {
+		header.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(wait.Seconds())), 10))
+	}
+	status, ok := statuses[e.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	x.handler.cfg.Meter.Refused(e.Verdict.String(), e.Reason.String())
+	x.c.String(status, fmt.Sprintf("%s: %s\n", e.Verdict, e.Reason))
+}
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -45,6 +45,8 @@
 	Deadline time.Time
 	// Attempt counts tries from 0, over all hops.
 	Attempt int
+	// Crashes counts the servers that crashed during earlier attempts.
+	Crashes int
 	// Hops counts the nodes passed so far.
 	Hops int
 	// Config and HostListRevision are the sender's views.
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,61 @@
+// Package control carries the exchanges between nodes that are not requests:
+// gossip, pulls of configuration files, heartbeats.
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"boragefall/internal/link"
+	"boragefall/internal/wire"
+)
+
+// exchangeTimeout bounds one control exchange.
+const exchangeTimeout = 2 * time.Second
+
+// Client asks other nodes.
+type Client struct {
+	dialer *link.Dialer
+}
+
+// NewClient returns a client over a dialer of the control class.
+func NewClient(dialer *link.Dialer) *Client {
+	return &Client{dialer: dialer}
+}
+
+// Gossip sends a gossip message and returns the peer's.
+func (c *Client) Gossip(ctx context.Context, address string, m *wire.Gossip) (*wire.Gossip, error) {
+	answer := &wire.Gossip{}
+	err := c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_Gossip{Gossip: m}}, answer)
+	return answer, err
+}
+
+// Pull asks a peer for a manifest or files.
+func (c *Client) Pull(ctx context.Context, address string, m *wire.Pull) (*wire.PullAnswer, error) {
+	answer := &wire.PullAnswer{}
+	err := c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_Pull{Pull: m}}, answer)
+	return answer, err
+}
+
+// Heartbeat exchanges heartbeats with a host of the same service.
+func (c *Client) Heartbeat(ctx context.Context, address string, m *wire.Heartbeat) (*wire.Heartbeat, error) {
+	answer := &wire.Heartbeat{}
+	err := c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_Heartbeat{Heartbeat: m}}, answer)
+	return answer, err
+}
+
+func (c *Client) ask(ctx context.Context, address string, opening *wire.Opening, answer proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	stream, err := c.dialer.Open(ctx, address, opening)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if err := stream.Flush(); err != nil {
+		return err
+	}
+	return stream.Receive(answer)
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,176 @@
+// Package dispatch sends a caller's request to a backend server: it chooses
+// the server, makes the attempts that the verdicts permit and returns one
+// answer or one final error.
+package dispatch
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/retry"
+	"boragefall/internal/routing"
+	"boragefall/internal/verdict"
+)
+
+// Local runs requests at this node's own gate.
+type Local interface {
+	Run(ctx context.Context, r *contract.Request) (*contract.Answer, error)
+}
+
+// Remote runs requests at the gate of another node.
+type Remote interface {
+	Do(ctx context.Context, address string, r *contract.Request) (*contract.Answer, error)
+}
+
+// Body yields a request's body, once for each attempt.
+type Body interface {
+	// Open returns the body for the next attempt. It reports false when the
+	// body was streamed and is gone.
+	Open() (io.Reader, bool)
+	// Replayable reports whether Open will succeed once more.
+	Replayable() bool
+}
+
+// Meter counts attempts by their result.
+type Meter interface {
+	Attempted(result string)
+}
+
+// Config names the parts of a Dispatcher. All fields are required.
+type Config struct {
+	Self      host.ID
+	Local     Local
+	Remote    Remote
+	Directory *routing.Directory
+	Policy    *retry.Policy
+	HostList  func() *host.List
+	Tracer    trace.Tracer
+	Meter     Meter
+}
+
+// Dispatcher sends requests to backend servers.
+type Dispatcher struct {
+	cfg    Config
+	random rand.Source
+}
+
+// New returns a Dispatcher.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, random: routing.Random{}}
+}
+
+// Do sends a request until it is answered or given up. Its errors are
+// *verdict.Error, and a refusal is returned at once.
+func (d *Dispatcher) Do(ctx context.Context, r *contract.Request, body Body, retries int) (*contract.Answer, error) {
+	plan := d.cfg.Policy.Start(retry.Request{
+		Service:         r.Service,
+		Idempotent:      r.Idempotent,
+		Retries:         retries,
+		Deadline:        r.Deadline,
+		UpstreamAttempt: uint32(r.Attempt),
+		Hops:            uint32(r.Hops),
+	})
+	if r.Key != "" && !r.KeyMinted && !r.Idempotent {
+		return d.keyed(ctx, r, body, plan)
+	}
+	return d.balanced(ctx, r, body, plan)
+}
+
+// balanced sends a request to any server of its service.
+func (d *Dispatcher) balanced(ctx context.Context, r *contract.Request, body Body, plan *retry.Plan) (*contract.Answer, error) {
+	var tried []host.ID
+	var last error
+	for {
+		server, refusal := d.choose(r.Service, tried)
+		if refusal != nil {
+			return nil, finalRefusal(plan, last, refusal)
+		}
+		tried = append(tried, server.Host)
+		answer, err := d.attempt(ctx, server, r, body)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		next := plan.Next(retry.Attempt{Err: err, Now: time.Now(), BodySpent: !body.Replayable()})
+		if next.Kind == retry.Stop {
+			return nil, next.Final
+		}
+		r.Attempt = int(next.Attempt)
+	}
+}
+
+func (d *Dispatcher) choose(service string, tried []host.ID) (*routing.Server, *verdict.Error) {
+	pool, ok := d.cfg.Directory.Pool(service)
+	if !ok {
+		// Proof: no server is known, so nothing was sent.
+		return nil, verdict.Refuse(verdict.ReasonLacksResource, time.Second)
+	}
+	server, ok := pool.Choose(d.random, tried, time.Now())
+	if !ok {
+		return nil, pool.Refusal()
+	}
+	return server, nil
+}
+
+// finalRefusal is the end of a request for which no further server is left.
+func finalRefusal(plan *retry.Plan, last error, refusal *verdict.Error) *verdict.Error {
+	if last == nil {
+		return refusal
+	}
+	return plan.GiveUp(last)
+}
+
+// attempt sends a request to one server. The server's statistics count the
+// request until its answer is closed.
+func (d *Dispatcher) attempt(ctx context.Context, server *routing.Server, r *contract.Request, body Body) (*contract.Answer, error) {
+	ctx, span := d.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("request", r.ID),
+		attribute.String("to", string(server.Host)),
+		attribute.Int("attempt", r.Attempt),
+	))
+	defer span.End()
+	started := time.Now()
+	answer, err := d.send(ctx, server, r, body)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		d.cfg.Meter.Attempted(verdict.Of(err).Reason.String())
+		noteCrash(r, err)
+		server.Stats.Finish(routing.Outcome{At: time.Now(), Latency: time.Since(started), Err: err})
+		return nil, err
+	}
+	d.cfg.Meter.Attempted("answered")
+	server.Stats.Observe(routing.Load(answer.Load), time.Now())
+	answer.Body = &countedBody{ReadCloser: answer.Body, stats: server.Stats, started: started}
+	return answer, nil
+}
+
+func (d *Dispatcher) send(ctx context.Context, server *routing.Server, r *contract.Request, body Body) (*contract.Answer, error) {
+	reader, ok := body.Open()
+	if !ok {
+		// Proof: this attempt has no body to send, so it sends nothing.
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, nil)
+	}
+	// A copy: a keyed request may go on at the gate after this attempt is over.
+	sent := *r
+	sent.Body = reader
+	if server.Host == d.cfg.Self {
+		return d.cfg.Local.Run(ctx, &sent)
+	}
+	return d.cfg.Remote.Do(ctx, server.Address, &sent)
+}
+
+// noteCrash lets the next gate know that the request was running while a
+// server crashed.
+func noteCrash(r *contract.Request, err error) {
+	if verdict.Of(err).Reason == verdict.ReasonConnectionLost {
+		r.Crashes++
+	}
+}
--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -85,6 +85,7 @@
 		HostListRevision: r.HostListRevision,
 		ContentLength:    r.ContentLength,
 		Fingerprint:      r.Fingerprint,
+		Crashes:          uint32(r.Crashes),
 	}
 	if !r.KeyTime.IsZero() {
 		head.KeyMillis = r.KeyTime.UnixMilli()
@@ -108,6 +109,7 @@
 		HostListRevision: head.GetHostListRevision(),
 		Fingerprint:      head.GetFingerprint(),
 		ContentLength:    head.GetContentLength(),
+		Crashes:          int(head.GetCrashes()),
 	}
 	r.Trailer = takeTrailerNames(r.Header)
 	if ms := head.GetKeyMillis(); ms != 0 {
--- /dev/null
+++ b/internal/lasthop/keyed.go
@@ -0,0 +1,229 @@
+package lasthop
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/contract"
+	"boragefall/internal/gate"
+	"boragefall/internal/idempotency"
+	"boragefall/internal/ledger"
+	"boragefall/internal/ownership"
+	"boragefall/internal/verdict"
+)
+
+// detachLimit is the longest body, in bytes, that is read before a keyed
+// request starts. Such a request goes on when its caller leaves, so that the
+// re-send finds its answer.
+const detachLimit = 256 << 10
+
+// runKeyed runs a request that any entry may send again under the same key.
+func (h *Hop) runKeyed(ctx context.Context, r *contract.Request, service config.Service) (*contract.Answer, error) {
+	claim := claimOf(r)
+	now := time.Now()
+	decision := h.cfg.Ledger.Begin(ledger.Request{
+		Key:           claim.Key,
+		Scoped:        r.Key,
+		Digest:        digestOf(r),
+		ResendWindow:  service.ResendWindow.Std(),
+		RefuseUntimed: h.cfg.Snapshot().Document.Routes[r.Route].Key == config.KeyTimed,
+		Ownership:     h.cfg.Owner.MayRun(claim, now),
+	}, now)
+	return h.follow(ctx, r, claim, decision)
+}
+
+func claimOf(r *contract.Request) ownership.Claim {
+	return ownership.Claim{
+		Scoped:     r.Key,
+		Key:        idempotency.Key{Value: r.Key, Time: r.KeyTime, Minted: r.KeyMinted},
+		Fences:     r.Fences,
+		SenderView: r.HostListRevision,
+	}
+}
+
+func digestOf(r *contract.Request) [32]byte {
+	var digest [32]byte
+	copy(digest[:], r.Digest)
+	return digest
+}
+
+// follow acts on the ledger's decision.
+func (h *Hop) follow(ctx context.Context, r *contract.Request, claim ownership.Claim, d ledger.Decision) (*contract.Answer, error) {
+	switch d.Kind {
+	case ledger.Run:
+		return h.runEntry(ctx, r, claim, d.Entry)
+	case ledger.Join:
+		return h.join(ctx, r, claim, d.Entry)
+	case ledger.Replay:
+		return h.replay(d.Answer), nil
+	default:
+		return nil, d.Refusal
+	}
+}
+
+// join waits for the request under way with the same key.
+func (h *Hop) join(ctx context.Context, r *contract.Request, claim ownership.Claim, entry *ledger.Entry) (*contract.Answer, error) {
+	select {
+	case <-entry.Done():
+		return h.follow(ctx, r, claim, entry.Result())
+	case <-ctx.Done():
+		return nil, leftOrLate(ctx)
+	}
+}
+
+func leftOrLate(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, ctx.Err())
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, ctx.Err())
+}
+
+// keyedResult is the end of a keyed run.
+type keyedResult struct {
+	answer *contract.Answer
+	err    error
+}
+
+// runEntry runs a key that the ledger gave to this request alone. It goes on
+// when the caller leaves, if the body is here whole.
+func (h *Hop) runEntry(ctx context.Context, r *contract.Request, claim ownership.Claim, entry *ledger.Entry) (*contract.Answer, error) {
+	whole, err := readWhole(r)
+	if err != nil {
+		// Proof: the request was not handed to the server.
+		return nil, h.refuseEntry(claim, entry, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, err))
+	}
+	if !whole {
+		result := h.execute(ctx, r, claim, entry)
+		return result.answer, result.err
+	}
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	results := make(chan keyedResult, 1)
+	go func() {
+		defer cancel()
+		results <- h.execute(detached, r, claim, entry)
+	}()
+	select {
+	case result := <-results:
+		return result.answer, result.err
+	case <-ctx.Done():
+		return nil, leftOrLate(ctx)
+	}
+}
+
+// readWhole reads a short body into memory. It reports false when the body is
+// longer, and then leaves it as it was.
+func readWhole(r *contract.Request) (bool, error) {
+	head, err := io.ReadAll(io.LimitReader(r.Body, detachLimit+1))
+	if err != nil {
+		return false, err
+	}
+	if len(head) <= detachLimit {
+		r.Body = bytes.NewReader(head)
+		r.ContentLength = int64(len(head))
+		return true, nil
+	}
+	r.Body = io.MultiReader(bytes.NewReader(head), r.Body)
+	return false, nil
+}
+
+// execute admits the request, checks the ownership once more, since the queue
+// may have taken a while, and sends it.
+func (h *Hop) execute(ctx context.Context, r *contract.Request, claim ownership.Claim, entry *ledger.Entry) keyedResult {
+	permit, err := h.cfg.Gate.Admit(ctx, h.admission(r))
+	if err != nil {
+		return keyedResult{err: h.refuseEntry(claim, entry, verdict.Of(err))}
+	}
+	if refusal := h.cfg.Owner.MayRun(claim, time.Now()); refusal != nil {
+		permit.Done(gate.Outcome{Kind: gate.OutcomeCanceled})
+		return keyedResult{err: h.refuseEntry(claim, entry, refusal)}
+	}
+	answer, err := h.send(ctx, r, permit)
+	if err != nil {
+		return keyedResult{err: h.failEntry(claim, entry, verdict.Of(err))}
+	}
+	return h.finishEntry(answer, entry)
+}
+
+// refuseEntry ends a key that was not handed to the server.
+func (h *Hop) refuseEntry(claim ownership.Claim, entry *ledger.Entry, refusal *verdict.Error) *verdict.Error {
+	now := time.Now()
+	if refusal.Verdict != verdict.NotRun {
+		entry.Finish(ledger.OutcomeMayHaveRun, nil, now)
+		return refusal
+	}
+	if h.cfg.Owner.LastRank(claim) {
+		// With a fence here no host could ever run the key.
+		entry.Finish(ledger.OutcomeNotRun, nil, now)
+		return refusal
+	}
+	entry.Finish(ledger.OutcomeFenced, nil, now)
+	fenced := *refusal
+	fenced.Fenced = true
+	return &fenced
+}
+
+// failEntry ends a key whose request met an error on its way to the server.
+func (h *Hop) failEntry(claim ownership.Claim, entry *ledger.Entry, failure *verdict.Error) *verdict.Error {
+	if failure.Verdict == verdict.NotRun {
+		return h.refuseEntry(claim, entry, failure)
+	}
+	entry.Finish(ledger.OutcomeMayHaveRun, nil, time.Now())
+	return failure
+}
+
+// finishEntry stores the answer, if it is short enough, and passes it on.
+func (h *Hop) finishEntry(answer *contract.Answer, entry *ledger.Entry) keyedResult {
+	limit := h.cfg.Ledger.MaxAnswerBytes()
+	head, err := io.ReadAll(io.LimitReader(answer.Body, int64(limit)+1))
+	if err != nil {
+		_ = answer.Body.Close()
+		entry.Finish(ledger.OutcomeRan, nil, time.Now())
+		return keyedResult{err: verdict.New(verdict.Ran, verdict.ReasonCutAnswer, err)}
+	}
+	if len(head) > limit {
+		entry.Finish(ledger.OutcomeRan, nil, time.Now())
+		answer.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(head), answer.Body), Closer: answer.Body}
+		return keyedResult{answer: answer}
+	}
+	_ = answer.Body.Close()
+	stored := storedAnswer(answer, head)
+	entry.Finish(ledger.OutcomeRan, stored, time.Now())
+	return keyedResult{answer: h.replay(stored)}
+}
+
+// prefixedBody is a body whose start was read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+func storedAnswer(a *contract.Answer, body []byte) *ledger.Answer {
+	stored := &ledger.Answer{Status: a.Status, Body: body}
+	for name, values := range a.Header {
+		for _, value := range values {
+			stored.Headers = append(stored.Headers, ledger.Header{Name: name, Value: value})
+		}
+	}
+	return stored
+}
+
+// replay returns a stored answer.
+func (h *Hop) replay(stored *ledger.Answer) *contract.Answer {
+	header := make(http.Header, len(stored.Headers))
+	for _, line := range stored.Headers {
+		header.Add(line.Name, line.Value)
+	}
+	return &contract.Answer{
+		Status:        stored.Status,
+		Header:        header,
+		Trailer:       func() http.Header { return nil },
+		ContentLength: int64(len(stored.Body)),
+		Load:          h.Load(),
+		Body:          io.NopCloser(bytes.NewReader(stored.Body)),
+	}
+}
--- /dev/null
+++ b/internal/lasthop/send.go
@@ -0,0 +1,126 @@
+package lasthop
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/gate"
+	"boragefall/internal/verdict"
+)
+
+// send hands an admitted request to the backend server. The permit ends with
+// the answer's body, or with the error.
+func (h *Hop) send(ctx context.Context, r *contract.Request, permit *gate.Permit) (*contract.Answer, error) {
+	ctx, span := h.cfg.Tracer.Start(ctx, "backend", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	started := time.Now()
+	answer, err := h.cfg.Backend.Do(ctx, r)
+	latency := time.Since(started)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		permit.Done(gate.Outcome{Kind: failedOutcome(verdict.Of(err)), Latency: latency})
+		return nil, err
+	}
+	outcome := gate.Outcome{
+		Kind:    answeredOutcome(answer.Status),
+		Latency: latency,
+		BootID:  answer.Header.Get(contract.HeaderBootID),
+	}
+	answer.Load = h.Load()
+	answer.Body = &permitBody{ReadCloser: answer.Body, permit: permit, outcome: outcome}
+	if refusal := statedRefusal(r, answer); refusal != nil {
+		_ = answer.Body.Close()
+		return nil, refusal
+	}
+	return answer, nil
+}
+
+func failedOutcome(e *verdict.Error) gate.OutcomeKind {
+	switch {
+	case e.Reason == verdict.ReasonCanceled:
+		return gate.OutcomeCanceled
+	case e.Reason == verdict.ReasonDeadline:
+		return gate.OutcomeTimeout
+	case e.Verdict == verdict.NotRun:
+		return gate.OutcomeRefused
+	default:
+		return gate.OutcomeCrashed
+	}
+}
+
+func answeredOutcome(status int) gate.OutcomeKind {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return gate.OutcomeShed
+	case status >= http.StatusInternalServerError:
+		return gate.OutcomeError
+	default:
+		return gate.OutcomeGood
+	}
+}
+
+// statedRefusal turns a server's own refusal into a failed attempt, so that
+// another server may be tried. Only the server's word makes it NotRun; a plain
+// 503 of an idempotent request may have run.
+func statedRefusal(r *contract.Request, answer *contract.Answer) *verdict.Error {
+	if answeredOutcome(answer.Status) != gate.OutcomeShed {
+		return nil
+	}
+	wait := retryAfter(answer.Header)
+	if answer.Header.Get(contract.HeaderVerdict) == verdict.NotRun.String() {
+		// Proof: the server itself says that it did not run the request.
+		return verdict.Refuse(verdict.ReasonOverloaded, wait)
+	}
+	if !r.Idempotent {
+		return nil
+	}
+	e := verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, nil)
+	e.RetryAfter = wait
+	return e
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Second
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// permitBody gives the permit back once the answer has been read or closed.
+type permitBody struct {
+	io.ReadCloser
+	permit  *gate.Permit
+	outcome gate.Outcome
+	once    sync.Once
+}
+
+// Read reports a body that breaks off as a crash of the server.
+func (b *permitBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.finish(b.outcome)
+	} else if err != nil {
+		b.finish(gate.Outcome{Kind: gate.OutcomeCrashed, Latency: b.outcome.Latency})
+	}
+	return n, err
+}
+
+// Close ends the answer; before its end the caller has left.
+func (b *permitBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.finish(gate.Outcome{Kind: gate.OutcomeCanceled, Latency: b.outcome.Latency, BootID: b.outcome.BootID})
+	return err
+}
+
+func (b *permitBody) finish(o gate.Outcome) {
+	b.once.Do(func() { b.permit.Done(o) })
+}
--- /dev/null
+++ b/internal/node/owner.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"boragefall/internal/control"
+	"boragefall/internal/host"
+	"boragefall/internal/ownership"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+// heartbeatEvery is the interval of heartbeats to each host of the service. A
+// lease survives the loss of three in a row.
+const heartbeatEvery = time.Second
+
+// owner keeps this host's ownership of keys: it feeds the machine with the
+// host list and with heartbeats.
+type owner struct {
+	self    host.Listing
+	machine *ownership.Machine
+	client  *control.Client
+	hosts   atomic.Pointer[[]host.ID] // the service's hosts in the list
+
+	mu        sync.Mutex
+	addresses map[host.ID]string // of listed hosts and of those just dropped
+}
+
+func newOwner(self host.Listing, boot time.Time, client *control.Client) *owner {
+	o := &owner{
+		self:      self,
+		machine:   ownership.New(ownership.Config{}, self.ID, boot),
+		client:    client,
+		addresses: map[host.ID]string{},
+	}
+	o.hosts.Store(&[]host.ID{})
+	return o
+}
+
+// MayRun returns nil when the key may run here now.
+func (o *owner) MayRun(claim ownership.Claim, now time.Time) *verdict.Error {
+	return o.machine.MayRun(claim, now)
+}
+
+// LastRank reports whether all other hosts of the service fenced the key.
+func (o *owner) LastRank(claim ownership.Claim) bool {
+	for _, id := range *o.hosts.Load() {
+		if id != o.self.ID && !slices.Contains(claim.Fences, id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *owner) setList(list *host.List, now time.Time) {
+	listings := list.OfService(o.self.Service)
+	ids := make([]host.ID, 0, len(listings))
+	o.mu.Lock()
+	for _, l := range listings {
+		ids = append(ids, l.ID)
+		o.addresses[l.ID] = l.Address
+	}
+	o.mu.Unlock()
+	o.hosts.Store(&ids)
+	o.machine.SetView(ownership.View{Revision: list.Revision, Hosts: ids}, now)
+}
+
+// run sends heartbeats until the context ends.
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		for _, address := range o.targets() {
+			go o.ask(ctx, address)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// targets returns the addresses of the peers and forgets those of hosts that
+// matter no more.
+func (o *owner) targets() []string {
+	peers := o.machine.Peers()
+	listed := *o.hosts.Load()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id := range o.addresses {
+		if !slices.Contains(peers, id) && !slices.Contains(listed, id) {
+			delete(o.addresses, id)
+		}
+	}
+	targets := make([]string, 0, len(peers))
+	for _, id := range peers {
+		if address, ok := o.addresses[id]; ok {
+			targets = append(targets, address)
+		}
+	}
+	return targets
+}
+
+// ask exchanges heartbeats with one peer. The answer may come late: it counts
+// from the time its request was sent.
+func (o *owner) ask(ctx context.Context, address string) {
+	sent := time.Now()
+	answer, err := o.client.Heartbeat(ctx, address, o.heartbeat(sent))
+	if err != nil || answer.GetService() != o.self.Service {
+		return
+	}
+	o.machine.HeartbeatReceived(ownership.Heartbeat{
+		Host:         host.ID(answer.GetHost()),
+		Boot:         answer.GetBootMillis(),
+		ViewRevision: answer.GetHostListRevision(),
+		ViewHash:     answer.GetViewHash(),
+		Floor:        answer.GetFloor(),
+		Settled:      answer.GetSettled(),
+	}, sent, time.Now())
+}
+
+func (o *owner) heartbeat(now time.Time) *wire.Heartbeat {
+	h := o.machine.Heartbeat(now)
+	return &wire.Heartbeat{
+		Host:             string(h.Host),
+		BootMillis:       h.Boot,
+		HostListRevision: h.ViewRevision,
+		ViewHash:         h.ViewHash,
+		Floor:            h.Floor,
+		Settled:          h.Settled,
+		Service:          o.self.Service,
+	}
+}
+
+// HandleHeartbeat answers a peer's heartbeat.
+func (o *owner) HandleHeartbeat(*wire.Heartbeat) *wire.Heartbeat {
+	return o.heartbeat(time.Now())
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"boragefall/internal/backend"
+	"boragefall/internal/caller"
+	"boragefall/internal/config"
+	"boragefall/internal/gate"
+	"boragefall/internal/host"
+	"boragefall/internal/membership"
+	"boragefall/internal/routing"
+)
+
+// state holds what the request's path reads: the configuration and the host
+// list in force, each swapped whole.
+type state struct {
+	self     host.Listing
+	snapshot atomic.Pointer[config.Snapshot]
+	view     atomic.Pointer[caller.View]
+	list     atomic.Pointer[host.List]
+	stopping atomic.Bool
+}
+
+func newState(self host.Listing) *state {
+	s := &state{self: self}
+	s.list.Store(&host.List{})
+	return s
+}
+
+// version returns the configuration version in force, zero before the first.
+func (s *state) version() config.Version {
+	if snapshot := s.snapshot.Load(); snapshot != nil {
+		return snapshot.Version
+	}
+	return config.Version{}
+}
+
+// leaving reports whether this host is to receive no new work: a planned stop
+// or a mark. The host's own record does not count, or a mark would hold itself.
+func (s *state) leaving() bool {
+	if s.stopping.Load() {
+		return true
+	}
+	if listing, ok := s.list.Load().Find(s.self.ID); ok && listing.Leaving {
+		return true
+	}
+	snapshot := s.snapshot.Load()
+	if snapshot == nil {
+		return false
+	}
+	document := snapshot.Document
+	return document.Hosts[s.self.ID].Leaving || document.DataCentres[s.self.Place.DataCentre].Leaving
+}
+
+// applier puts accepted versions in force, in the order they are accepted.
+type applier struct {
+	state    *state
+	registry *membership.Registry
+	gate     *gate.Gate
+	backend  *backend.Client
+	owner    *owner
+}
+
+// ApplyConfig swaps the configuration. The request's path sees the old one or
+// the new one, never a mix.
+func (a *applier) ApplyConfig(snapshot *config.Snapshot) {
+	table := routing.NewTable(snapshot.Document)
+	a.state.snapshot.Store(snapshot)
+	a.state.view.Store(&caller.View{Version: snapshot.Version, Table: table})
+	if service, ok := snapshot.Document.Services[a.state.self.Service]; ok {
+		a.gate.SetService(service)
+		a.backend.SetConnections(service.Connections)
+	}
+	a.registry.ApplyConfig(time.Now(), snapshot)
+	a.gate.SetLeaving(a.state.leaving())
+}
+
+// ApplyHostList swaps the host list.
+func (a *applier) ApplyHostList(list *host.List) {
+	a.state.list.Store(list)
+	a.owner.setList(list, time.Now())
+	a.registry.ApplyHostList(time.Now(), list)
+	a.gate.SetLeaving(a.state.leaving())
+}
--- /dev/null
+++ b/internal/node/streams.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"context"
+
+	"boragefall/internal/control"
+	"boragefall/internal/exchange"
+	"boragefall/internal/link"
+	"boragefall/internal/wire"
+)
+
+// streams serves what peers open on this node's links.
+type streams struct {
+	control  *control.Server
+	requests *exchange.Server
+}
+
+// ServeStream serves one stream. An opening of an unknown kind, which a newer
+// peer may send, is left unanswered.
+func (s *streams) ServeStream(ctx context.Context, _ link.Class, opening *wire.Opening, stream *link.Stream) {
+	if head := opening.GetRequest(); head != nil {
+		s.requests.Serve(ctx, head, stream)
+		return
+	}
+	s.control.Serve(ctx, opening, stream)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,9 @@
 	Service string
 	// Backend is the backend server's address, IP:port. Required.
 	Backend string
+	// HealthPath and LoadPath are the backend server's own endpoints. Default
+	// none: they are not asked.
+	HealthPath, LoadPath string
 	// LinkListen is where other nodes connect, IP:port. Required.
 	LinkListen string
 	// CallersListen is where callers connect, IP:port. Required.
@@ -92,6 +95,8 @@
 	flags.StringVar(&s.Region, "region", "", "`name` of this host's region")
 	flags.StringVar(&s.Service, "service", "", "`name` of the service of the backend server beside this node")
 	flags.StringVar(&s.Backend, "backend", "", "`IP:port` of the backend server beside this node")
+	flags.StringVar(&s.HealthPath, "health-path", "", "`path` of the backend server's health endpoint, empty for none")
+	flags.StringVar(&s.LoadPath, "load-path", "", "`path` of the backend server's load endpoint, empty for none")
 	flags.StringVar(&s.LinkListen, "link-listen", "", "`IP:port` where other nodes connect")
 	flags.StringVar(&s.CallersListen, "callers-listen", "", "`IP:port` where callers connect")
 	flags.StringVar(&s.AdminListen, "admin-listen", "", "`IP:port` where operators connect")
@@ -118,6 +123,8 @@
 		checkName("region", s.Region),
 		checkName("service", s.Service),
 		checkAddress("backend", s.Backend),
+		checkPath("health-path", s.HealthPath),
+		checkPath("load-path", s.LoadPath),
 		checkAddress("link-listen", s.LinkListen),
 		checkAddress("callers-listen", s.CallersListen),
 		checkAddress("admin-listen", s.AdminListen),
@@ -164,6 +171,13 @@
 	return nil
 }
 
+func checkPath(field, value string) error {
+	if value != "" && value[0] != '/' {
+		return bad(field, strconv.Quote(value), "a path that starts with /, or nothing")
+	}
+	return nil
+}
+
 func checkURL(field, value string) error {
 	parsed, err := url.Parse(value)
 	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
