--- a/internal/config/properties_test.go
+++ b/internal/config/properties_test.go
@@ -16,7 +16,8 @@
 // patches over the same few names, with now and then a fault.
 func anyFolder() *rapid.Generator[[]config.File] {
 	return rapid.Custom(func(t *rapid.T) []config.File {
-		files := base()
+		files := base("35.json", `{"services":{"b":{"slots":9,"connections":70}},"dataCentres":{"x":{"region":"south"}},
+			"routes":{"r":{"match":{"pathPrefix":"/r"},"service":"b"}}}`)
 		for i := range rapid.IntRange(0, 4).Draw(t, "files") {
 			tree := map[string]any{}
 			for _, kind := range []string{"services", "routes", "callers", "dataCentres", "hosts"} {
@@ -38,7 +39,7 @@
 	fields := map[string][]any{
 		"services":    {"slots", 4, "slots", 9, "connections", 70, "coldLimit", 2, "coldLimit", 6, "resendWindow", "30s", "warmAfter", nil},
 		"routes":      {"service", "status", "service", "b", "retries", 0, "retries", nil, "timeout", "3s", "match", map[string]any{"path": "/x", "pathPrefix": nil}, "match", map[string]any{"methods": []any{"GET"}}},
-		"callers":     {"weight", 5, "weight", nil, "weight", 101},
+		"callers":     {"weight", 5, "weight", nil, "weight", 7, "weight", 101},
 		"dataCentres": {"region", "north", "leaving", true, "leaving", false, "leaving", nil},
 		"hosts":       {"leaving", true, "leaving", false},
 	}[kind]
@@ -49,7 +50,7 @@
 	return rapid.Custom(func(t *rapid.T) map[string]any {
 		objects := map[string]any{}
 		for _, name := range rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID).Draw(t, "names") {
-			if rapid.IntRange(0, 9).Draw(t, "remove") == 0 {
+			if rapid.IntRange(0, 19).Draw(t, "remove") == 0 {
 				objects[name] = nil
 				continue
 			}
