--- /dev/null
+++ b/internal/ledger/entry.go
@@ -0,0 +1,78 @@
+package ledger
+
+import (
+	"container/list"
+	"time"
+
+	"boragefall/internal/verdict"
+)
+
+// Entry is one key in the ledger. Its fields besides done are guarded by the
+// shard's lock and don't change after done is closed, except expires.
+type Entry struct {
+	ledger  *Ledger
+	scoped  string
+	digest  [32]byte
+	timed   bool
+	running bool
+	outcome Outcome
+	answer  *Answer
+	done    chan struct{}
+	expires time.Time
+	element *list.Element // nil while the request runs
+}
+
+// Done is closed when the request that runs the key has ended.
+func (e *Entry) Done() <-chan struct{} {
+	return e.done
+}
+
+// Result returns the decision for those that joined. It is valid after Done is
+// closed. For OutcomeNotRun it refuses with NotRun, as the run it joined did.
+func (e *Entry) Result() Decision {
+	return e.decision()
+}
+
+// Finish records how the request ended. The answer counts with OutcomeRan only
+// and may be nil; a longer one than the ledger takes is dropped, and later
+// requests learn that the key ran. Only the first call counts.
+func (e *Entry) Finish(outcome Outcome, answer *Answer, now time.Time) {
+	if e.ledger == nil {
+		return // a minted key: nobody else can ask for it
+	}
+	s := e.ledger.shardOf(e.scoped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !e.running {
+		return
+	}
+	e.running = false
+	e.outcome = outcome
+	if outcome == OutcomeRan {
+		e.answer = e.ledger.admit(answer)
+	}
+	if outcome == OutcomeNotRun {
+		e.ledger.forget(s, e)
+	} else {
+		e.ledger.remember(s, e, now)
+	}
+	close(e.done)
+}
+
+// decision answers a request for a key that has ended.
+func (e *Entry) decision() Decision {
+	switch e.outcome {
+	case OutcomeRan:
+		if e.answer != nil {
+			return Decision{Kind: Replay, Answer: e.answer}
+		}
+		return Decision{Kind: RanNoAnswer, Refusal: verdict.New(verdict.Ran, verdict.ReasonAnswerLost, nil)}
+	case OutcomeNotRun:
+		// Proof: the run that was joined ended before the server got the request.
+		return refuse(verdict.Refuse(verdict.ReasonOverloaded, retryAfter))
+	case OutcomeFenced:
+		return refuse(fencedRefusal())
+	default:
+		return refuse(unknownKey())
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,209 @@
+package ledger
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragefall/internal/idempotency"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// shardCount spreads the keys over as many locks.
+	shardCount = 64
+	// retryAfter is what a refused caller is told to wait.
+	retryAfter = time.Second
+	// bootMargin is how much later than the boot a key must have been made to be
+	// surely newer: an earlier process ran keys up to ClockBound ahead of its
+	// clock, and its clock may have been ClockBound ahead of this one.
+	bootMargin = 2 * idempotency.ClockBound
+)
+
+// Ledger is the memory of one gate. It is safe for concurrent use.
+type Ledger struct {
+	cfg    Config
+	boot   time.Time
+	keep   time.Duration
+	count  atomic.Int64
+	bytes  atomic.Int64
+	shards [shardCount]shard
+}
+
+// New returns an empty ledger of a process that started at boot.
+func New(cfg Config, boot time.Time) *Ledger {
+	cfg = cfg.withDefaults()
+	// A key outlives the horizon by the margin, so that it is beyond the
+	// horizon by the key's own time before it is forgotten.
+	l := &Ledger{cfg: cfg, boot: boot, keep: cfg.Horizon + bootMargin}
+	for i := range l.shards {
+		l.shards[i].entries = make(map[string]*Entry)
+	}
+	return l
+}
+
+// Len returns the number of keys held.
+func (l *Ledger) Len() int {
+	return int(l.count.Load())
+}
+
+// Bytes returns the size of the stored answers in bytes.
+func (l *Ledger) Bytes() int {
+	return int(l.bytes.Load())
+}
+
+// Begin decides what to do with a request.
+func (l *Ledger) Begin(req Request, now time.Time) Decision {
+	if req.Key.Minted {
+		// Only one process knows the key, and it sends it once at a time.
+		return Decision{Kind: Run, Entry: &Entry{}}
+	}
+	s := l.shardOf(req.Scoped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := l.find(s, req.Scoped, now); e != nil {
+		return l.known(s, e, req, now)
+	}
+	if refusal := l.refusal(s, req, now); refusal != nil {
+		return l.refuseNew(s, req, refusal, now)
+	}
+	e := l.insert(s, req.Scoped)
+	if e == nil {
+		// Proof: the gate alone may run the key, it has not, and it won't now.
+		return refuse(verdict.Refuse(verdict.ReasonLedgerFull, retryAfter))
+	}
+	e.digest = req.Digest
+	e.timed = req.Key.Timed()
+	return Decision{Kind: Run, Entry: e}
+}
+
+// Fence makes sure that this gate never runs a key within the horizon. The
+// refusal says Fenced when that is so; its verdict is MayHaveRun, since another
+// gate may run the key. A key that runs or ran, or one for which there is no
+// room, is not fenced.
+func (l *Ledger) Fence(scoped string, now time.Time) *verdict.Error {
+	s := l.shardOf(scoped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := l.find(s, scoped, now); e != nil {
+		if e.running || e.outcome == OutcomeRan {
+			return unknownKey()
+		}
+		if e.outcome == OutcomeFenced {
+			return fencedRefusal()
+		}
+		return unknownKey()
+	}
+	e := l.insert(s, scoped)
+	if e == nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonLedgerFull, nil)
+	}
+	l.end(s, e, OutcomeFenced, now)
+	return fencedRefusal()
+}
+
+// known decides on a key that the ledger holds.
+func (l *Ledger) known(s *shard, e *Entry, req Request, now time.Time) Decision {
+	if !e.running && !e.timed {
+		l.remember(s, e, now) // an untimed key has no other sign of its age
+	}
+	if e.digest != req.Digest && e.digest != [32]byte{} && req.Digest != [32]byte{} {
+		// Proof: the gate doesn't run a request whose body differs from the key's.
+		return Decision{Kind: Conflict, Refusal: verdict.New(verdict.NotRun, verdict.ReasonKeyConflict, nil)}
+	}
+	if e.running {
+		return Decision{Kind: Join, Entry: e}
+	}
+	return e.decision()
+}
+
+// refusal returns why a key that the ledger doesn't hold may not run, or nil.
+func (l *Ledger) refusal(s *shard, req Request, now time.Time) *verdict.Error {
+	if req.Ownership != nil {
+		return req.Ownership
+	}
+	if !req.Key.Timed() {
+		return l.untimedRefusal(s, req, now)
+	}
+	if !req.Key.Time.After(l.boot.Add(bootMargin)) || now.Sub(req.Key.Time) > l.cfg.Horizon {
+		return unknownKey()
+	}
+	if ahead := req.Key.Ahead(now); ahead > 0 {
+		// Proof: the gate alone may run the key, it has not, and it won't now.
+		return verdict.Refuse(verdict.ReasonKeyRequired, ahead)
+	}
+	return nil
+}
+
+func (l *Ledger) untimedRefusal(s *shard, req Request, now time.Time) *verdict.Error {
+	since := l.boot
+	if s.untimedSince.After(since) {
+		since = s.untimedSince
+	}
+	if now.Sub(since) < req.ResendWindow {
+		return unknownKey()
+	}
+	if req.RefuseUntimed {
+		// Proof: the gate alone may run the key, it has not, and it won't now.
+		return verdict.Refuse(verdict.ReasonKeyRequired, 0)
+	}
+	return nil
+}
+
+// refuseNew refuses a key that the ledger doesn't hold, and remembers a key
+// that may have run: a re-send after the window must find it.
+func (l *Ledger) refuseNew(s *shard, req Request, refusal *verdict.Error, now time.Time) Decision {
+	if refusal.Reason != verdict.ReasonUnknownKey || req.Key.Timed() {
+		return refuse(refusal) // a timed key never becomes newer than the boot
+	}
+	e := l.insert(s, req.Scoped)
+	if e == nil {
+		s.untimedSince = now
+		return refuse(refusal)
+	}
+	l.end(s, e, OutcomeMayHaveRun, now)
+	return refuse(refusal)
+}
+
+// end ends a new entry that nobody runs.
+func (l *Ledger) end(s *shard, e *Entry, outcome Outcome, now time.Time) {
+	e.running = false
+	e.outcome = outcome
+	close(e.done)
+	l.remember(s, e, now)
+}
+
+// admit returns the answer when there is room to store it, or else nil.
+func (l *Ledger) admit(answer *Answer) *Answer {
+	if answer == nil || answer.size() > l.cfg.MaxAnswerBytes {
+		return nil
+	}
+	size := int64(answer.size())
+	if l.bytes.Add(size) > int64(l.cfg.MaxBytes) {
+		l.bytes.Add(-size)
+		return nil
+	}
+	return answer
+}
+
+func (l *Ledger) shardOf(scoped string) *shard {
+	return &l.shards[xxhash.Sum64String(scoped)%shardCount]
+}
+
+func refuse(refusal *verdict.Error) Decision {
+	return Decision{Kind: Refuse, Refusal: refusal}
+}
+
+func unknownKey() *verdict.Error {
+	e := verdict.New(verdict.MayHaveRun, verdict.ReasonUnknownKey, nil)
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// fencedRefusal is MayHaveRun, since the next gate in rank may run the key.
+func fencedRefusal() *verdict.Error {
+	e := verdict.New(verdict.MayHaveRun, verdict.ReasonFenced, nil)
+	e.Fenced = true
+	return e
+}
--- /dev/null
+++ b/internal/ownership/peer.go
@@ -0,0 +1,82 @@
+package ownership
+
+import "time"
+
+// peer is what the answered heartbeats prove about another host's process.
+type peer struct {
+	boot    int64
+	settled bool
+	floor   uint64
+	// contactSince is when the first answer of this process arrived.
+	contactSince time.Time
+	// sent is when the last answered request was sent.
+	sent time.Time
+	// steps holds the views that the process reported, oldest first.
+	steps []step
+}
+
+// step is a view that a peer reported in one or more answers in a row.
+type step struct {
+	revision, hash uint64
+	// arrived is when the first of the answers arrived.
+	arrived time.Time
+	// sent is when the request of the last of them was sent.
+	sent time.Time
+}
+
+// report adds an answer. The caller has checked that it is newer than the last.
+func (p *peer) report(h Heartbeat, sent, now time.Time) {
+	p.sent = sent
+	p.floor = max(p.floor, h.Floor)
+	if n := len(p.steps); n > 0 && p.steps[n-1].revision == h.ViewRevision {
+		p.steps[n-1].sent = sent
+		return
+	}
+	p.steps = append(p.steps, step{revision: h.ViewRevision, hash: h.ViewHash, arrived: now, sent: sent})
+}
+
+func (p *peer) lastStep() step {
+	if len(p.steps) == 0 {
+		return step{}
+	}
+	return p.steps[len(p.steps)-1]
+}
+
+// prune drops the steps that say nothing about views after the floor.
+func (p *peer) prune(floor uint64) {
+	for len(p.steps) > 1 && p.steps[1].revision <= floor {
+		p.steps = p.steps[1:]
+	}
+}
+
+// heldSince returns since when the process has surely held views of one set
+// without a gap in which it could have held another for a whole lease.
+func (p *peer) heldSince(hash uint64, lease time.Duration) (time.Time, bool) {
+	i := len(p.steps) - 1
+	if i < 0 || p.steps[i].hash != hash {
+		return time.Time{}, false
+	}
+	for i > 0 && p.steps[i-1].hash == hash && p.steps[i].arrived.Sub(p.steps[i-1].sent) < lease {
+		i--
+	}
+	return p.steps[i].arrived, true
+}
+
+// unbroken reports whether the process can't have spent a whole lease under a
+// view after revision that the known function doesn't know.
+func (p *peer) unbroken(revision uint64, lease time.Duration, known func(step) bool) bool {
+	var last *step
+	for i := range p.steps {
+		s := &p.steps[i]
+		if s.revision > revision {
+			if !known(*s) {
+				continue
+			}
+			if last == nil || s.arrived.Sub(last.sent) >= lease {
+				return false
+			}
+		}
+		last = s
+	}
+	return last != nil && last.revision == p.lastStep().revision
+}
--- /dev/null
+++ b/internal/ownership/view.go
@@ -0,0 +1,67 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"boragefall/internal/host"
+)
+
+// View is the host list as far as it concerns one service.
+type View struct {
+	// Revision is the revision of the host list; 0 is no list.
+	Revision uint64
+	// Hosts names the hosts of the service, in any order.
+	Hosts []host.ID
+}
+
+// span is a run of revisions in which this host saw the same set of hosts.
+type span struct {
+	first, last uint64
+	hash        uint64 // of the set
+	members     []member
+	since       time.Time // when this host took the first of them
+}
+
+func newSpan(v View, now time.Time) *span {
+	hosts := slices.Clone(v.Hosts)
+	slices.Sort(hosts)
+	hosts = slices.Compact(hosts)
+	s := &span{first: v.Revision, last: v.Revision, hash: setHash(hosts), since: now}
+	for _, id := range hosts {
+		s.members = append(s.members, newMember(id))
+	}
+	return s
+}
+
+// setHash identifies a sorted set of hosts; it is never 0.
+func setHash(sorted []host.ID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, id := range sorted {
+		_, _ = digest.WriteString(string(id))
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64() | 1
+}
+
+// holds reports whether a reported view is one of the span's.
+func (s *span) holds(revision, hash uint64) bool {
+	return s.hash == hash && s.first <= revision && revision <= s.last
+}
+
+func (s *span) has(id host.ID) bool {
+	return slices.ContainsFunc(s.members, func(m member) bool { return m.id == id })
+}
+
+// majority is the smallest number of members that is more than half.
+func (s *span) majority() int {
+	return len(s.members)/2 + 1
+}
+
+// half is the smallest number of members that leaves no majority outside.
+func (s *span) half() int {
+	return (len(s.members) + 1) / 2
+}
