Add the membership: host records, repair by buckets, views

Cause: nodes need to know which hosts live, leave or are suspect without a shared store. Host records are pushed every 500 ms, leaving marks at once. Seen to fail on planted faults: records converge (no bucket repair; an older record wins), leaving if any says so (list mark ignored), lagging list (contact from before the change counts).

--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,45 @@
+package membership
+
+import (
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+	"boragefall/internal/wire"
+)
+
+// maxQuarantine bounds the fingerprints of one record.
+const maxQuarantine = 32
+
+func recordToWire(r host.Record) *wire.HostRecord {
+	return &wire.HostRecord{
+		Host:       string(r.ID),
+		BootMillis: r.Boot,
+		Sequence:   r.Sequence,
+		Address:    r.Address,
+		Place:      &wire.Place{Region: string(r.Place.Region), DataCentre: string(r.Place.DataCentre)},
+		Service:    r.Service,
+		State:      uint32(r.State),
+		Capacity:   r.Capacity,
+		Quarantine: r.Quarantine,
+	}
+}
+
+// recordFromWire reports false for a record that can't be used.
+func recordFromWire(w *wire.HostRecord) (host.Record, bool) {
+	if w.GetHost() == "" || w.GetState() > uint32(host.StateDown) || len(w.GetQuarantine()) > maxQuarantine {
+		return host.Record{}, false
+	}
+	return host.Record{
+		ID:       host.ID(w.GetHost()),
+		Boot:     w.GetBootMillis(),
+		Sequence: w.GetSequence(),
+		Address:  w.GetAddress(),
+		Place: datacentre.Place{
+			Region:     datacentre.Region(w.GetPlace().GetRegion()),
+			DataCentre: datacentre.ID(w.GetPlace().GetDataCentre()),
+		},
+		Service:    w.GetService(),
+		State:      host.State(w.GetState()),
+		Capacity:   w.GetCapacity(),
+		Quarantine: w.GetQuarantine(),
+	}, true
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"boragefall/internal/host"
+	"boragefall/internal/spread"
+	"boragefall/internal/wire"
+)
+
+// Bounds of the records in one gossip.
+const (
+	maxRumours       = 32
+	maxRepairRecords = 256
+	maxEmptyBuckets  = 16
+	maxRepairBuckets = 2
+)
+
+// A bucket that changed a moment ago likely differs only by rumours under way;
+// it is repaired once it has been quiet, or when nothing was repaired for long.
+const (
+	quietFor    = 2 * time.Second
+	repairAfter = 10 * time.Second
+)
+
+var _ spread.Records = (*Registry)(nil)
+
+// Pending reports whether changed records wait to be pushed.
+func (r *Registry) Pending(time.Time) spread.Urgency {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	urgency := spread.NothingPending
+	for id := range r.rumours {
+		if r.records.byHost[id].record.State == host.StateLeaving {
+			return spread.LeavingPending
+		}
+		urgency = spread.RecordsPending
+	}
+	return urgency
+}
+
+// Offer adds the record hash and the records that wait to an outgoing gossip.
+func (r *Registry) Offer(_ time.Time, out *wire.Gossip) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out.RecordHash = r.records.hash()
+	for _, id := range r.nextRumours() {
+		e := r.records.byHost[id]
+		out.Records = append(out.Records, recordToWire(e.record))
+		if e.copies--; e.copies <= 0 {
+			delete(r.rumours, id)
+		}
+	}
+}
+
+// nextRumours returns the hosts whose records go first: those that leave, then
+// those passed on least often.
+func (r *Registry) nextRumours() []host.ID {
+	ids := make([]host.ID, 0, len(r.rumours))
+	for id := range r.rumours {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b host.ID) int {
+		x, y := r.records.byHost[a], r.records.byHost[b]
+		xLeaves, yLeaves := x.record.State == host.StateLeaving, y.record.State == host.StateLeaving
+		if xLeaves != yLeaves {
+			if xLeaves {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(y.copies, x.copies), cmp.Compare(a, b))
+	})
+	return ids[:min(len(ids), maxRumours)]
+}
+
+// Receive merges a received gossip. A reply that is not nil gets what the peer
+// asked for, or the bucket hashes when the record hashes differ.
+func (r *Registry) Receive(now time.Time, in, reply *wire.Gossip) {
+	r.merge(now, in.GetRecords())
+	if reply == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply.RecordHash = r.records.hash()
+	if wanted := in.GetWantedBuckets(); len(wanted) > 0 {
+		reply.Records = r.lackedBy(in.GetRecords(), wanted)
+	} else if in.GetRecordHash() != reply.RecordHash {
+		reply.BucketHashes = r.records.bucketHashes()
+	}
+}
+
+// lackedBy returns the records of some buckets that the sender of others does
+// not hold in the same or a newer form.
+func (r *Registry) lackedBy(others []*wire.HostRecord, wanted []uint32) []*wire.HostRecord {
+	theirs := make(map[host.ID]host.Record, len(others))
+	for _, o := range others {
+		if record, ok := recordFromWire(o); ok {
+			theirs[record.ID] = record
+		}
+	}
+	var out []*wire.HostRecord
+	for _, own := range r.records.inBuckets(wanted) {
+		if their, known := theirs[own.ID]; known && !own.NewerThan(their) {
+			continue
+		}
+		if out = append(out, recordToWire(own)); len(out) == maxRepairRecords {
+			break
+		}
+	}
+	return out
+}
+
+// Answered merges a reply. When the reply carries bucket hashes, the follow-up
+// sends this node's records of some differing buckets and asks for the peer's.
+func (r *Registry) Answered(now time.Time, reply *wire.Gossip) *wire.Gossip {
+	r.merge(now, reply.GetRecords())
+	if len(reply.GetBucketHashes()) != bucketCount {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wanted := r.bucketsToRepair(now, reply.GetBucketHashes())
+	if len(wanted) == 0 {
+		return nil
+	}
+	r.lastRepair = now
+	followUp := &wire.Gossip{RecordHash: r.records.hash(), WantedBuckets: wanted}
+	for _, record := range r.records.inBuckets(wanted) {
+		if followUp.Records = append(followUp.Records, recordToWire(record)); len(followUp.Records) == maxRepairRecords {
+			break
+		}
+	}
+	return followUp
+}
+
+// bucketsToRepair picks the empty ones among the differing buckets, as a new
+// node has them, else the few that have been quiet longest.
+func (r *Registry) bucketsToRepair(now time.Time, theirs []uint64) []uint32 {
+	var empty, filled []uint32
+	for i, b := range r.records.buckets {
+		switch {
+		case b.hash == theirs[i]:
+		case b.size == 0:
+			empty = append(empty, uint32(i))
+		default:
+			filled = append(filled, uint32(i))
+		}
+	}
+	if len(empty) > 0 {
+		return empty[:min(len(empty), maxEmptyBuckets)]
+	}
+	slices.SortFunc(filled, func(a, b uint32) int {
+		return r.records.buckets[a].changed.Compare(r.records.buckets[b].changed)
+	})
+	filled = filled[:min(len(filled), maxRepairBuckets)]
+	if len(filled) > 0 && now.Sub(r.records.buckets[filled[0]].changed) < quietFor && now.Sub(r.lastRepair) < repairAfter {
+		return nil
+	}
+	return filled
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,265 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/config"
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+	"boragefall/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := true
+	flag.Visit(func(f *flag.Flag) { fixed = fixed && f.Name != "rapid.seed" })
+	if fixed {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(math.Round(seconds*1000)) * time.Millisecond)
+}
+
+func ownRecord(id host.ID, boot int64) host.Record {
+	return host.Record{ID: id, Boot: boot, Address: "10.0.0.1:1", Service: "light", State: host.StateCold,
+		Place: datacentre.Place{Region: "west", DataCentre: "esbjerg"}}
+}
+
+func listOf(revision uint64, ids ...host.ID) *host.List {
+	list := &host.List{Revision: revision}
+	for _, id := range ids {
+		rec := ownRecord(id, 0)
+		list.Hosts = append(list.Hosts, host.Listing{ID: id, Address: rec.Address, Place: rec.Place, Service: rec.Service})
+	}
+	list.Sort()
+	return list
+}
+
+type countingListener struct{ views []*View }
+
+func (l *countingListener) ViewChanged(v *View) { l.views = append(l.views, v) }
+
+var _ = Describe("Registry", func() {
+	var r *Registry
+	heard := &countingListener{}
+	receive := func(seconds float64, records ...host.Record) {
+		in := &wire.Gossip{}
+		for _, rec := range records {
+			in.Records = append(in.Records, recordToWire(rec))
+		}
+		r.Receive(at(seconds), in, nil)
+	}
+	member := func(id host.ID) Member {
+		m, _ := r.View().Find(id)
+		return m
+	}
+	BeforeEach(func() {
+		heard = &countingListener{}
+		r = NewRegistry(Config{}, ownRecord("a", 1), start, heard)
+		r.ApplyHostList(start, listOf(1, "a", "b", "c"))
+	})
+
+	DescribeTable("takes a host as leaving if any says so",
+		func(change func()) {
+			Expect(member("b").Leaving).To(BeFalse())
+			change()
+			Expect(member("b").Leaving).To(BeTrue())
+			Expect(member("b").ID).To(Equal(host.ID("b")))
+		},
+		Entry("mark of the host", func() {
+			r.ApplyConfig(at(1), &config.Snapshot{Document: &config.Document{Hosts: map[host.ID]config.HostMark{"b": {Leaving: true}}}})
+		}),
+		Entry("mark of its data centre", func() {
+			r.ApplyConfig(at(1), &config.Snapshot{Document: &config.Document{
+				DataCentres: map[datacentre.ID]config.DataCentre{"esbjerg": {Leaving: true}}}})
+		}),
+		Entry("host list", func() {
+			list := listOf(2, "a", "b")
+			list.Hosts[1].Leaving = true
+			r.ApplyHostList(at(1), list)
+		}),
+		Entry("its own record", func() {
+			rec := ownRecord("b", 5)
+			rec.State = host.StateLeaving
+			receive(1, rec)
+		}),
+	)
+
+	It("lets a restarted host end its own mark, not that of the list", func() {
+		rec := ownRecord("b", 5)
+		rec.State = host.StateLeaving
+		receive(1, rec, ownRecord("b", 6))
+		Expect(member("b").Leaving).To(BeFalse())
+		list := listOf(2, "a", "b")
+		list.Hosts[1].Leaving = true
+		r.ApplyHostList(at(2), list)
+		receive(3, ownRecord("b", 7))
+		Expect(member("b").Leaving).To(BeTrue())
+	})
+
+	It("keeps a host that answered after a lagging list dropped it, for a while", func() {
+		receive(1, ownRecord("b", 5))
+		r.ObserveContact("b", at(1))
+		r.ApplyHostList(at(2), listOf(2, "a", "c"))
+		Expect(member("b").ID).To(BeEmpty(), "an answer before the change proves nothing")
+		r.ObserveContact("b", at(3))
+		Expect(member("b").Unlisted).To(BeTrue())
+		r.Tick(at(13.5))
+		Expect(member("b").ID).To(BeEmpty())
+		r.Tick(at(40))
+		Expect(r.records.byHost).NotTo(HaveKey(host.ID("b")))
+	})
+
+	It("suspects a host that failed until it answers or the time is over", func() {
+		r.ObserveFailure("b", at(1))
+		r.ObserveFailure("c", at(1))
+		Expect([]bool{member("b").Suspect, member("c").Suspect}).To(Equal([]bool{true, true}))
+		r.ObserveContact("b", at(2))
+		Expect(member("b").Suspect).To(BeFalse())
+		r.Tick(at(6.1))
+		Expect(member("c").Suspect).To(BeFalse())
+	})
+
+	It("outdoes a record of its own earlier process with a faster clock", func() {
+		receive(1, ownRecord("a", 99))
+		Expect(r.Own().NewerThan(ownRecord("a", 99))).To(BeTrue())
+	})
+
+	It("tells its listeners of each view once and of merged records on a tick", func() {
+		before := len(heard.views)
+		receive(1, ownRecord("b", 5))
+		Expect(heard.views).To(HaveLen(before))
+		r.Tick(at(1.1))
+		r.Tick(at(1.2))
+		Expect(heard.views).To(HaveLen(before + 1))
+		Expect(heard.views[before].OfService("light")).To(HaveLen(3))
+	})
+
+	It("spends eight bytes on records that are equal", func() {
+		other := NewRegistry(Config{}, ownRecord("b", 1), start)
+		other.ApplyHostList(start, listOf(1, "a", "b", "c"))
+		exchange(r, other, at(30))
+		exchange(r, other, at(60))
+		first := &wire.Gossip{RecordHash: r.records.hash()}
+		reply := &wire.Gossip{}
+		other.Receive(at(61), first, reply)
+		Expect(first.RecordHash).NotTo(BeZero())
+		Expect(proto.Size(reply)).To(Equal(9))
+	})
+})
+
+var _ = Describe("PauseDetector", func() {
+	It("reports a paused process, and no gap of a second or less", func() {
+		var gaps []time.Duration
+		d := NewPauseDetector(func(gap time.Duration) { gaps = append(gaps, gap) })
+		for _, seconds := range []float64{0, 0.1, 1.1, 4.1, 4.2} {
+			d.Tick(at(seconds))
+		}
+		Expect(gaps).To(Equal([]time.Duration{3 * time.Second}))
+	})
+})
+
+// exchange is one gossip with its reply and follow-up.
+func exchange(a, b *Registry, now time.Time) {
+	out := &wire.Gossip{}
+	a.Offer(now, out)
+	for out != nil {
+		reply := &wire.Gossip{}
+		b.Receive(now, out, reply)
+		out = a.Answered(now, reply)
+	}
+}
+
+// TestRecordsConverge loses, restarts and changes at will. Then every registry
+// comes to hold the newest record of each host.
+func TestRecordsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var ids []host.ID
+		for i := range rapid.IntRange(3, 9).Draw(t, "hosts") {
+			ids = append(ids, host.ID(fmt.Sprint("h", i)))
+		}
+		now := start
+		boots := int64(0)
+		fresh := func(id host.ID) *Registry {
+			boots++
+			r := NewRegistry(Config{}, ownRecord(id, boots), now)
+			r.ApplyHostList(now, listOf(1, ids...))
+			return r
+		}
+		all := make([]*Registry, len(ids))
+		for i, id := range ids {
+			all[i] = fresh(id)
+		}
+		round := func(lossPercent int) {
+			now = now.Add(time.Second)
+			for i, r := range all {
+				r.Tick(now)
+				if j := random.IntN(len(all)); j != i && random.IntN(100) >= lossPercent {
+					exchange(r, all[j], now)
+				}
+			}
+		}
+		var late []*wire.Gossip
+		deliver := func(to *Registry, message *wire.Gossip) {
+			before := to.View()
+			to.Receive(now, message, &wire.Gossip{})
+			to.Tick(now)
+			for _, m := range before.Members {
+				after, _ := to.View().Find(m.ID)
+				g.Expect(m.Record.NewerThan(after.Record)).To(BeFalse(), "record of %s went back", m.ID)
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(ids)-1).Draw(t, "host")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				all[i].UpdateOwn(now, host.StateWarm, random.Uint32(), nil)
+			case 1:
+				all[i] = fresh(ids[i])
+			case 2:
+				round(rapid.IntRange(0, 100).Draw(t, "loss"))
+			case 3:
+				all[i].UpdateOwn(now, host.StateLeaving, 0, []uint64{random.Uint64()})
+			case 4:
+				late = append(late, &wire.Gossip{Records: []*wire.HostRecord{recordToWire(all[i].Own())}})
+			case 5:
+				if len(late) > 0 {
+					deliver(all[i], late[random.IntN(len(late))])
+				}
+			}
+		}
+		for range 60 {
+			round(0)
+		}
+		for i, id := range ids {
+			for _, r := range all {
+				g.Expect(r.records.byHost[id].record).To(Equal(all[i].Own()), "record of %s", id)
+				m, _ := r.View().Find(id)
+				g.Expect(m.Leaving).To(Equal(all[i].Own().State == host.StateLeaving))
+			}
+		}
+	})
+}
--- a/internal/spread/gossip.go
+++ b/internal/spread/gossip.go
@@ -23,6 +23,10 @@
 	pushPause  = 200 * time.Millisecond
 )
 
+// recordsEvery is the time between two pushes of host records, so that changes
+// share messages.
+const recordsEvery = 500 * time.Millisecond
+
 // push is what is left to push of the newest versions.
 type push struct {
 	rounds int
@@ -34,9 +38,9 @@
 	p.due = now
 }
 
-// pushDue pushes new versions, leaving marks and, on a tick, host records to a
-// few peers. What the budget refuses stays due.
-func (m *Machine) pushDue(now time.Time, tick bool) {
+// pushDue pushes new versions, leaving marks and host records to a few peers.
+// What the budget refuses stays due.
+func (m *Machine) pushDue(now time.Time) {
 	if m.push.rounds > 0 && !now.Before(m.push.due) && m.fanOut(now, ClassVersions) {
 		m.push.rounds--
 		m.push.due = now.Add(pushPause)
@@ -45,8 +49,8 @@
 	case LeavingPending:
 		m.fanOut(now, ClassLeaving)
 	case RecordsPending:
-		if tick {
-			m.fanOut(now, ClassRecords)
+		if !now.Before(m.nextRecords) && m.fanOut(now, ClassRecords) {
+			m.nextRecords = now.Add(recordsEvery)
 		}
 	}
 }
@@ -124,7 +128,7 @@
 		m.cfg.Records.Receive(now, message, nil)
 	}
 	m.budget.Charge(now, ClassRest, proto.Size(reply))
-	m.pushDue(now, false)
+	m.pushDue(now)
 	return reply, m.drain()
 }
 
@@ -139,7 +143,7 @@
 		proto.Merge(own, followUp)
 		m.send(now, address, ClassRest, own)
 	}
-	m.pushDue(now, false)
+	m.pushDue(now)
 	return m.drain()
 }
 
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -37,6 +37,7 @@
 
 	lastTick        time.Time
 	nextAntiEntropy time.Time
+	nextRecords     time.Time
 	lastPull        uint64
 	effects         []Effect
 	counters        Counters
@@ -75,7 +76,7 @@
 	m.checkPulls(now)
 	m.readSource(now)
 	m.antiEntropy(now)
-	m.pushDue(now, true)
+	m.pushDue(now)
 	return m.drain()
 }
 
@@ -115,7 +116,7 @@
 		m.setPeers()
 	}
 	m.push.start(now)
-	m.pushDue(now, false)
+	m.pushDue(now)
 }
 
 func (m *Machine) reject(now time.Time, d *document, r Rejection) {
