Serve the whole path: node, command line, stand-ins

A node reads a configuration from the platform or from peers, applies it whole, takes callers' requests and hands them over a link to the gate beside the backend server.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -62,6 +62,14 @@
 	Admit(caller string, now time.Time) (func(), *verdict.Error)
 }
 
+// Unlimited admits every request.
+type Unlimited struct{}
+
+// Admit admits the request.
+func (Unlimited) Admit(string, time.Time) (func(), *verdict.Error) {
+	return func() {}, nil
+}
+
 // Handler serves callers.
 type Handler struct {
 	cfg        Config
--- /dev/null
+++ b/internal/cli/admin.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// adminTimeout bounds one question to a node's admin address.
+const adminTimeout = 5 * time.Second
+
+// ask reads JSON from a node's admin address.
+func ask(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return Usage("--node holds %q; it takes the admin address IP:port", address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Unreachable(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Unreachable(eris.Errorf("%s answers %s", address, response.Status))
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return Unreachable(eris.Wrapf(err, "%s answers no JSON", address))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"boragefall/internal/node"
+	"boragefall/internal/settings"
+	"boragefall/internal/telemetry"
+)
+
+func nodeCommand(streams Streams) *ffcli.Command {
+	s := &settings.Settings{}
+	flags := s.FlagSet("node")
+	flags.SetOutput(streams.Err)
+	return &ffcli.Command{
+		Name:       "node",
+		ShortUsage: programName + " node --settings FILE [flags]",
+		ShortHelp:  "Run a node beside a backend server.",
+		LongHelp: examples("Flags go over "+settings.EnvPrefix+"_... in the environment, which goes over the file. SIGTERM is a planned stop; a second one ends at once.",
+			programName+" node --settings node.json",
+			programName+" node --settings node.json --log-level debug"),
+		FlagSet: flags,
+		Options: []ff.Option{
+			ff.WithConfigFileFlag("settings"),
+			ff.WithConfigFileParser(ff.JSONParser),
+			ff.WithEnvVarPrefix(settings.EnvPrefix),
+		},
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := s.Check(); err != nil {
+				return &ExitError{Code: ExitUsage, Err: err}
+			}
+			return runNode(ctx, streams, *s)
+		},
+	}
+}
+
+// runNode runs a node until the first signal and then stops it as planned.
+func runNode(ctx context.Context, streams Streams, s settings.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	logger := telemetry.NewLogger(s.LogLevel, streams.Err)
+	n, err := node.Start(ctx, s, node.Options{Logger: logger, Stdout: streams.Out})
+	if err != nil {
+		return &ExitError{Code: ExitNo, Err: err}
+	}
+	logger.Info().Str("part", "node").Str("host", s.Host).
+		Str("callers", n.CallersAddress()).Str("admin", n.AdminAddress()).Msg("node started")
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop(context.Background()) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-signals:
+		return &ExitError{Code: ExitNo}
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -49,6 +49,10 @@
 		mergeCommand(streams),
 		explainCommand(streams),
 		diffCommand(streams),
+		nodeCommand(streams),
+		statusCommand(streams),
+		waitCommand(streams),
+		standinCommand(streams),
 		versionCommand(streams),
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -15,6 +16,7 @@
 
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
+	"boragefall/internal/link"
 	"boragefall/internal/retry"
 	"boragefall/internal/routing"
 	"boragefall/internal/verdict"
@@ -44,6 +46,12 @@
 	Attempted(result string)
 }
 
+// Contacts takes what this node saw itself of other hosts.
+type Contacts interface {
+	ObserveContact(id host.ID, now time.Time)
+	ObserveFailure(id host.ID, now time.Time)
+}
+
 // Config names the parts of a Dispatcher. All fields are required.
 type Config struct {
 	Self      host.ID
@@ -52,6 +60,7 @@
 	Directory *routing.Directory
 	Policy    *retry.Policy
 	HostList  func() *host.List
+	Contacts  Contacts
 	Tracer    trace.Tracer
 	Meter     Meter
 }
@@ -143,10 +152,12 @@
 		span.SetStatus(codes.Error, err.Error())
 		d.cfg.Meter.Attempted(verdict.Of(err).Reason.String())
 		noteCrash(r, err)
+		d.noteFailure(server.Host, err)
 		server.Stats.Finish(routing.Outcome{At: time.Now(), Latency: time.Since(started), Err: err})
 		return nil, err
 	}
 	d.cfg.Meter.Attempted("answered")
+	d.cfg.Contacts.ObserveContact(server.Host, time.Now())
 	server.Stats.Observe(routing.Load(answer.Load), time.Now())
 	answer.Body = &countedBody{ReadCloser: answer.Body, stats: server.Stats, started: started}
 	return answer, nil
@@ -174,3 +185,11 @@
 		r.Crashes++
 	}
 }
+
+// noteFailure makes a host suspect when no link to it could be made. A refusal
+// of its gate is a sign of life.
+func (d *Dispatcher) noteFailure(id host.ID, err error) {
+	if id != d.cfg.Self && errors.Is(err, link.ErrUnreachable) {
+		d.cfg.Contacts.ObserveFailure(id, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"boragefall/internal/control"
+	"boragefall/internal/exchange"
+	"boragefall/internal/host"
+	"boragefall/internal/wire"
+)
+
+// fleetParallel bounds the hosts asked at once.
+const fleetParallel = 32
+
+// FleetMember is what another node says of its configuration.
+type FleetMember struct {
+	Host       host.ID `json:"host"`
+	DataCentre string  `json:"dataCentre"`
+	Service    string  `json:"service"`
+	Reachable  bool    `json:"reachable"`
+	Applied    string  `json:"applied"`
+	Leaving    bool    `json:"leaving"`
+}
+
+// fleet asks all hosts of the host list what they have in force.
+type fleet struct {
+	state  *state
+	client *control.Client
+}
+
+func newFleet(s *state, c *control.Client) *fleet {
+	return &fleet{state: s, client: c}
+}
+
+// read asks every listed host once and returns them sorted by name.
+func (f *fleet) read(ctx context.Context) []FleetMember {
+	listings := f.state.list.Load().Hosts
+	members := make([]FleetMember, len(listings))
+	slots := make(chan struct{}, fleetParallel)
+	var work sync.WaitGroup
+	for i, l := range listings {
+		slots <- struct{}{}
+		work.Go(func() {
+			members[i] = f.ask(ctx, l)
+			<-slots
+		})
+	}
+	work.Wait()
+	slices.SortFunc(members, func(a, b FleetMember) int { return cmp.Compare(a.Host, b.Host) })
+	return members
+}
+
+// ask learns the applied version from an answer to an empty gossip.
+func (f *fleet) ask(ctx context.Context, l host.Listing) FleetMember {
+	member := FleetMember{Host: l.ID, DataCentre: string(l.Place.DataCentre), Service: l.Service, Leaving: l.Leaving}
+	if l.ID == f.state.self.ID {
+		member.Reachable = true
+		member.Applied = f.state.version().String()
+		return member
+	}
+	answer, err := f.client.Gossip(ctx, l.Address, &wire.Gossip{SourceAgeMillis: -1})
+	if err != nil {
+		return member
+	}
+	member.Reachable = true
+	member.Applied = exchange.DecodeVersion(answer.GetApplied()).String()
+	return member
+}
--- /dev/null
+++ b/internal/node/module.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/fx"
+
+	"boragefall/internal/backend"
+	"boragefall/internal/caller"
+	"boragefall/internal/config"
+	"boragefall/internal/control"
+	"boragefall/internal/dispatch"
+	"boragefall/internal/exchange"
+	"boragefall/internal/gate"
+	"boragefall/internal/host"
+	"boragefall/internal/lasthop"
+	"boragefall/internal/ledger"
+	"boragefall/internal/link"
+	"boragefall/internal/membership"
+	"boragefall/internal/platform"
+	"boragefall/internal/retry"
+	"boragefall/internal/routing"
+	"boragefall/internal/settings"
+	"boragefall/internal/spread"
+	"boragefall/internal/telemetry"
+)
+
+// parts are what Node itself needs of the wired objects.
+type parts struct {
+	fx.In
+
+	State     *state
+	Status    *statusReader
+	Counter   *link.Counter
+	Listeners Listeners
+	Stopper   *stopper
+}
+
+// module provides and starts all parts of a node. Hooks stop in the reverse
+// order of their start: the planned stop first, the links last.
+var module = fx.Options(
+	fx.Provide(
+		newLogger, newBoot, newIdentity, newSelf, newState, newCounter,
+		newMetrics, newTracing, newControlDialer, newRequestDialer,
+		control.NewClient, newPlatform, newBackend, newGate, newLedger, newNodeOwner,
+		routing.NewBook, newDirectory, newDirectoryFeed, newRegistry, newApplier, newRunner,
+		newPolicy, newHop, newDispatcher, newCallers, newStreams, newLinkListener,
+		newNodeUpkeep, newStatusReader, newFleet, newAdmin, newStopper,
+	),
+	fx.Invoke(startLinks, startWorkers, startServers, startStopper),
+)
+
+// boot is the start of this process.
+type boot time.Time
+
+func newBoot() boot { return boot(time.Now()) }
+
+func newLogger(o Options) *log.Logger { return o.Logger }
+
+func newSelf(s settings.Settings, l Listeners) host.Listing { return selfListing(s, l) }
+
+func newIdentity(s settings.Settings, b boot) link.Identity {
+	return link.Identity{
+		Host:       host.ID(s.Host),
+		BootMillis: time.Time(b).UnixMilli(),
+		Validation: config.ValidationNumber,
+	}
+}
+
+func newCounter() *link.Counter { return &link.Counter{} }
+
+func newMetrics(s settings.Settings) *telemetry.Metrics { return telemetry.NewMetrics(s.Host) }
+
+func newTracing(lc fx.Lifecycle, s settings.Settings, o Options) (*telemetry.Tracing, error) {
+	tracing, err := telemetry.NewTracing(context.Background(), telemetry.TracingConfig{
+		Exporter: telemetry.Exporter(s.TraceExporter),
+		Endpoint: s.TraceEndpoint,
+		Ratio:    s.TraceRatio,
+		Host:     s.Host,
+	}, o.Stdout)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(tracing.Close))
+	return tracing, nil
+}
+
+// controlDialer and requestDialer differ in type so that fx tells them apart.
+type (
+	controlDialer struct{ *link.Dialer }
+	requestDialer struct{ *link.Dialer }
+)
+
+func newControlDialer(id link.Identity, c *link.Counter) (controlDialer, *link.Dialer) {
+	d := link.NewDialer(link.Config{}, link.ClassControl, id, c)
+	return controlDialer{d}, d
+}
+
+func newRequestDialer(id link.Identity, c *link.Counter) requestDialer {
+	return requestDialer{link.NewDialer(link.Config{}, link.ClassRequest, id, c)}
+}
+
+func newPlatform(s settings.Settings) *platform.Client {
+	return platform.NewClient(platform.Config{BaseURL: s.Platform}, nil)
+}
+
+func newBackend(s settings.Settings) *backend.Client {
+	return backend.NewClient(backend.Config{Address: s.Backend})
+}
+
+func newGate(logger *log.Logger) *gate.Gate { return gate.New(gate.Config{}, logger) }
+
+func newLedger(b boot) *ledger.Ledger { return ledger.New(ledger.Config{}, time.Time(b)) }
+
+func newNodeOwner(self host.Listing, b boot, client *control.Client) *owner {
+	return newOwner(self, time.Time(b), client)
+}
+
+func newDirectory(self host.Listing, book *routing.Book) *routing.Directory {
+	return routing.NewDirectory(routing.DirectoryConfig{Place: self.Place, Host: self.ID}, book)
+}
+
+func newRegistry(self host.Listing, b boot, feed *directoryFeed) *membership.Registry {
+	own := host.Record{
+		ID:       self.ID,
+		Boot:     time.Time(b).UnixMilli(),
+		Sequence: 1,
+		Address:  self.Address,
+		Place:    self.Place,
+		Service:  self.Service,
+		State:    host.StateCold,
+		Capacity: 1,
+	}
+	return membership.NewRegistry(membership.Config{}, own, time.Now(), feed)
+}
+
+func newApplier(s *state, r *membership.Registry, g *gate.Gate, b *backend.Client, o *owner) *applier {
+	return &applier{state: s, registry: r, gate: g, backend: b, owner: o}
+}
+
+func newRunner(s settings.Settings, self host.Listing, client *control.Client, source *platform.Client, a *applier, r *membership.Registry, logger *log.Logger) *spread.Runner {
+	cfg := spread.Config{BootPeers: s.Peers, ControlRate: s.ControlBytesPerSecond, Records: r}
+	return spread.NewRunner(cfg, self, client, source, a, logger)
+}
+
+func newPolicy() *retry.Policy { return retry.NewPolicy(retry.Config{}) }
+
+func newHop(self host.Listing, s *state, g *gate.Gate, l *ledger.Ledger, o *owner, b *backend.Client, t *telemetry.Tracing, logger *log.Logger) *lasthop.Hop {
+	return lasthop.New(lasthop.Config{
+		Host: self.ID, Service: self.Service, Snapshot: s.snapshot.Load,
+		Gate: g, Ledger: l, Owner: o, Backend: b, Tracer: t, Logger: logger,
+	})
+}
+
+func newDispatcher(self host.Listing, hop *lasthop.Hop, d requestDialer, directory *routing.Directory, policy *retry.Policy, s *state, registry *membership.Registry, t *telemetry.Tracing, m *telemetry.Metrics) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
+		Self: self.ID, Local: hop, Remote: exchange.NewClient(d.Dialer), Directory: directory,
+		Policy: policy, HostList: s.list.Load, Contacts: registry, Tracer: t, Meter: m,
+	})
+}
+
+// callers is the HTTP server towards callers.
+type callers struct{ *http.Server }
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+func newCallers(s *state, d *dispatch.Dispatcher, t *telemetry.Tracing, m *telemetry.Metrics, logger *log.Logger) callers {
+	handler := caller.NewHandler(caller.Config{
+		View: s.view.Load, Leaving: s.leaving, Dispatcher: d,
+		Bodies: caller.NewBodies(caller.BodiesConfig{}), Fairness: caller.Unlimited{},
+		Tracer: t, Meter: m, Logger: logger,
+	})
+	return callers{&http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
+	}}
+}
+
+func newStreams(hop *lasthop.Hop, s *state, runner *spread.Runner, o *owner, logger *log.Logger) *streams {
+	return &streams{
+		control:  &control.Server{Gossip: runner, Pull: runner, Heartbeat: o},
+		requests: exchange.NewServer(hop, s.version, logger),
+	}
+}
+
+func newLinkListener(id link.Identity, c *link.Counter, l Listeners, handler *streams, logger *log.Logger) *link.Listener {
+	return link.NewListener(link.Config{}, id, c, l.Link, handler, logger)
+}
+
+func newNodeUpkeep(s settings.Settings, r *membership.Registry, g *gate.Gate, o *owner, b *backend.Client, c controlDialer, q requestDialer, logger *log.Logger) *upkeep {
+	return newUpkeep(s, r, g, o, b, []*link.Dialer{c.Dialer, q.Dialer}, logger)
+}
+
+// startLinks serves peers from the start to the very end.
+func startLinks(lc fx.Lifecycle, listener *link.Listener, c controlDialer, q requestDialer, b *backend.Client) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go listener.Serve(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			c.Close()
+			q.Close()
+			listener.Close()
+			b.Close()
+			return nil
+		},
+	})
+}
+
+// startWorkers runs the background work of the node.
+func startWorkers(lc fx.Lifecycle, runner *spread.Runner, o *owner, u *upkeep) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 3)
+	run := func(work func(context.Context)) {
+		go func() {
+			work(ctx)
+			done <- struct{}{}
+		}()
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			run(runner.Run)
+			run(o.run)
+			run(u.run)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			for range cap(done) {
+				<-done
+			}
+			return nil
+		},
+	})
+}
+
+// startServers serves callers and operators.
+func startServers(lc fx.Lifecycle, l Listeners, c callers, a admin) {
+	serve := func(server *http.Server, listener net.Listener) {
+		lc.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				go func() { _ = server.Serve(listener) }()
+				return nil
+			},
+			OnStop: func(context.Context) error { return server.Close() },
+		})
+	}
+	serve(a.Server, l.Admin)
+	serve(c.Server, l.Callers)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,160 @@
+// Package node wires one node: the process that sits beside a backend server.
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"boragefall/internal/config"
+	"boragefall/internal/datacentre"
+	"boragefall/internal/host"
+	"boragefall/internal/link"
+	"boragefall/internal/settings"
+)
+
+// startTimeout bounds the start of a node. It does not wait for peers or for
+// the platform: a node starts without them.
+const startTimeout = 10 * time.Second
+
+// stopMargin is what a planned stop may take beyond its drain limit.
+const stopMargin = 10 * time.Second
+
+// Options are what a node gets besides its settings.
+type Options struct {
+	// Logger is where the node logs. Required.
+	Logger *log.Logger
+	// Stdout takes spans when the exporter is stdout. Default: discarded.
+	Stdout io.Writer
+	// Listeners replace the listening addresses of the settings when set.
+	Listeners Listeners
+}
+
+// Listeners are the sockets on which a node is reached.
+type Listeners struct {
+	Link, Callers, Admin net.Listener
+}
+
+// Node is one running node.
+type Node struct {
+	app      *fx.App
+	settings settings.Settings
+	parts    parts
+}
+
+// Start starts a node. Stop must be called when it succeeded.
+func Start(ctx context.Context, s settings.Settings, o Options) (*Node, error) {
+	listeners, err := listen(s, o.Listeners)
+	if err != nil {
+		return nil, err
+	}
+	if o.Stdout == nil {
+		o.Stdout = io.Discard
+	}
+	n := &Node{settings: s}
+	n.app = fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.DrainLimit+stopMargin),
+		fx.Supply(s, o, listeners),
+		module,
+		fx.Populate(&n.parts),
+	)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := n.app.Start(ctx); err != nil {
+		listeners.close()
+		return nil, eris.Wrap(err, "start node")
+	}
+	return n, nil
+}
+
+// Stop is a planned stop: nothing in flight is cut off within the drain limit.
+func (n *Node) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainLimit+stopMargin)
+	defer cancel()
+	return n.app.Stop(ctx)
+}
+
+// Kill ends the node at once, as a crash would, as far as one process allows.
+func (n *Node) Kill() {
+	n.parts.Stopper.kill()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.app.Stop(ctx)
+}
+
+// Version returns the configuration version in force.
+func (n *Node) Version() config.Version {
+	return n.parts.State.version()
+}
+
+// Status returns what the node knows of itself.
+func (n *Node) Status() Status {
+	return n.parts.Status.read()
+}
+
+// Counter returns the node's byte counter.
+func (n *Node) Counter() *link.Counter {
+	return n.parts.Counter
+}
+
+// CallersAddress returns where callers connect, IP:port.
+func (n *Node) CallersAddress() string {
+	return n.parts.Listeners.Callers.Addr().String()
+}
+
+// AdminAddress returns where operators connect, IP:port.
+func (n *Node) AdminAddress() string {
+	return n.parts.Listeners.Admin.Addr().String()
+}
+
+// Listing returns the node's own entry, as the host list should have it.
+func (n *Node) Listing() host.Listing {
+	return n.parts.State.self
+}
+
+func listen(s settings.Settings, given Listeners) (Listeners, error) {
+	var err error
+	open := func(present net.Listener, address string) net.Listener {
+		if present != nil || err != nil {
+			return present
+		}
+		var opened net.Listener
+		opened, err = net.Listen("tcp", address)
+		return opened
+	}
+	given.Link = open(given.Link, s.LinkListen)
+	given.Callers = open(given.Callers, s.CallersListen)
+	given.Admin = open(given.Admin, s.AdminListen)
+	if err != nil {
+		given.close()
+		return given, eris.Wrap(err, "listen")
+	}
+	return given, nil
+}
+
+func (l Listeners) close() {
+	for _, listener := range []net.Listener{l.Link, l.Callers, l.Admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func selfListing(s settings.Settings, l Listeners) host.Listing {
+	return host.Listing{
+		ID:      host.ID(s.Host),
+		Address: l.Link.Addr().String(),
+		Place: datacentre.Place{
+			Region:     datacentre.Region(s.Region),
+			DataCentre: datacentre.ID(s.DataCentre),
+		},
+		Service: s.Service,
+	}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"time"
+
+	"boragefall/internal/config"
+	"boragefall/internal/gate"
+	"boragefall/internal/host"
+	"boragefall/internal/ledger"
+	"boragefall/internal/link"
+	"boragefall/internal/membership"
+	"boragefall/internal/spread"
+)
+
+// Status is what a node knows of itself, as /status shows it.
+type Status struct {
+	Host          host.ID         `json:"host"`
+	DataCentre    string          `json:"dataCentre"`
+	Region        string          `json:"region"`
+	Service       string          `json:"service"`
+	UpSeconds     int64           `json:"upSeconds"`
+	Ready         bool            `json:"ready"`
+	Leaving       bool            `json:"leaving"`
+	Version       string          `json:"version"`
+	Hash          string          `json:"hash"`
+	Floor         string          `json:"floor"`
+	Validation    uint32          `json:"validation"`
+	HostList      uint64          `json:"hostListRevision"`
+	Role          string          `json:"role"`
+	SourceAgeMs   int64           `json:"sourceAgeMs"`
+	Rejected      []Rejected      `json:"rejected"`
+	Gate          GateStatus      `json:"gate"`
+	LedgerKeys    int             `json:"ledgerKeys"`
+	LeaseSeconds  float64         `json:"leaseSeconds"`
+	Members       int             `json:"members"`
+	ControlSent   int64           `json:"controlBytesSent"`
+	ControlGot    int64           `json:"controlBytesReceived"`
+	SourceReads   uint64          `json:"sourceReads"`
+	StaleReads    uint64          `json:"staleReads"`
+	SpreadDetails spread.Counters `json:"spread"`
+}
+
+// Rejected is a version that failed its checks.
+type Rejected struct {
+	Version string `json:"version"`
+	Reason  string `json:"reason"`
+}
+
+// GateStatus is the load of the backend server beside the node.
+type GateStatus struct {
+	State       string `json:"state"`
+	Running     int    `json:"running"`
+	Queued      int    `json:"queued"`
+	Limit       int    `json:"limit"`
+	Quarantined int    `json:"quarantined"`
+}
+
+// statusReader gathers the status.
+type statusReader struct {
+	state    *state
+	boot     boot
+	runner   *spread.Runner
+	gate     *gate.Gate
+	ledger   *ledger.Ledger
+	owner    *owner
+	registry *membership.Registry
+	counter  *link.Counter
+}
+
+func newStatusReader(s *state, b boot, r *spread.Runner, g *gate.Gate, l *ledger.Ledger, o *owner, m *membership.Registry, c *link.Counter) *statusReader {
+	return &statusReader{state: s, boot: b, runner: r, gate: g, ledger: l, owner: o, registry: m, counter: c}
+}
+
+// ready reports whether the node can serve: it holds a configuration and a
+// host list and is not leaving.
+func (r *statusReader) ready() bool {
+	return r.state.snapshot.Load() != nil && r.state.list.Load().Revision > 0 && !r.state.leaving()
+}
+
+func (r *statusReader) read() Status {
+	self := r.state.self
+	spreading := r.runner.Status()
+	return Status{
+		Host:          self.ID,
+		DataCentre:    string(self.Place.DataCentre),
+		Region:        string(self.Place.Region),
+		Service:       self.Service,
+		UpSeconds:     int64(time.Since(time.Time(r.boot)).Seconds()),
+		Ready:         r.ready(),
+		Leaving:       r.state.leaving(),
+		Version:       spreading.Config.String(),
+		Hash:          spreading.ConfigHash.String(),
+		Floor:         spreading.ConfigFloor.String(),
+		Validation:    config.ValidationNumber,
+		HostList:      r.state.list.Load().Revision,
+		Role:          spreading.Role,
+		SourceAgeMs:   spreading.SourceAge.Milliseconds(),
+		Rejected:      rejectedOf(spreading.Rejected),
+		Gate:          r.gateStatus(),
+		LedgerKeys:    r.ledger.Len(),
+		LeaseSeconds:  max(0, time.Until(r.owner.machine.LeaseUntil()).Seconds()),
+		Members:       len(r.registry.View().Members),
+		ControlSent:   r.counter.Sent(link.ClassControl),
+		ControlGot:    r.counter.Received(link.ClassControl),
+		SourceReads:   spreading.Counters.Reads,
+		StaleReads:    spreading.Counters.StaleReads,
+		SpreadDetails: spreading.Counters,
+	}
+}
+
+func (r *statusReader) gateStatus() GateStatus {
+	load := r.gate.Load()
+	return GateStatus{
+		State:       load.State.String(),
+		Running:     load.Running,
+		Queued:      load.Queued,
+		Limit:       load.Limit,
+		Quarantined: len(r.gate.Quarantine()),
+	}
+}
+
+func rejectedOf(rejections []spread.Rejection) []Rejected {
+	out := make([]Rejected, 0, len(rejections))
+	for _, r := range rejections {
+		out = append(out, Rejected{Version: r.Version.String(), Reason: r.Reason})
+	}
+	return out
+}
