--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -14,6 +14,7 @@
 
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
+	"boragefall/internal/verdict"
 )
 
 // ServerConfig describes a stand-in backend server.
@@ -232,33 +233,43 @@
 func (p *process) serveWork(w http.ResponseWriter, r *http.Request) {
 	s := p.server
 	w.Header().Set(contract.HeaderBootID, strconv.FormatInt(p.boot, 10))
+	if p.run(w, r) {
+		p.answer(w, r)
+		s.good.Add(1)
+	}
+}
+
+// run runs the request in a slot and reports whether it is to be answered. The
+// slot is free before the answer starts.
+func (p *process) run(w http.ResponseWriter, r *http.Request) bool {
+	s := p.server
 	running := s.running.Add(1)
-	defer func() {
-		if s.boot.Load() == p.boot {
-			s.running.Add(-1)
-		}
-	}()
+	defer p.leaveSlot()
 	cold := s.Cold()
 	if cold && running > int64(s.cfg.ColdLimit) {
 		s.record.addColdOverload()
 		s.Crash()
-		return
+		return false
 	}
 	if running > int64(s.cfg.Slots) {
 		w.Header().Set("Retry-After", "1")
+		w.Header().Set(contract.HeaderVerdict, verdict.NotRun.String())
 		http.Error(w, "shed", http.StatusServiceUnavailable)
-		return
+		return false
 	}
 	s.record.add(Run{Operation: r.Header.Get(HeaderOperation), Host: s.cfg.Host, Method: r.Method, At: time.Now()})
 	if r.Header.Get(HeaderPoison) != "" {
 		s.Crash()
-		return
+		return false
 	}
-	if !p.work(r.Context(), cold) {
-		return
+	return p.work(r.Context(), cold)
+}
+
+// leaveSlot frees a slot unless a crash has freed all.
+func (p *process) leaveSlot() {
+	if p.server.boot.Load() == p.boot {
+		p.server.running.Add(-1)
 	}
-	p.answer(w, r)
-	s.good.Add(1)
 }
 
 // work takes the run time; a cold server is three times as slow. It reports
