--- a/internal/config/check_route.go
+++ b/internal/config/check_route.go
@@ -57,7 +57,7 @@
 		return
 	}
 	c.add(at, fmt.Sprintf("service %s is %s", shorten(jsonText(service)), c.absence(target)),
-		"remove the route before its service, and add the service before its route")
+		"known services: "+shorten(strings.Join(sortedKeys(c.document.Services), ", ")))
 }
 
 func (c *checker) checkMatch(at string, m Match) {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -32,11 +32,14 @@
 
 // Service is a group of backend servers that run the same code.
 type Service struct {
-	// Slots is the number of requests that one server runs at once. Required.
+	// Slots is the number of requests that one server runs at once. Required,
+	// 1 to MaxSlots.
 	Slots int `json:"slots"`
-	// Connections is the number of connections that one server takes. Required.
+	// Connections is the number of connections that one server takes. Required,
+	// Slots to MaxConnections.
 	Connections int `json:"connections"`
-	// ColdLimit is the number of requests that a cold server bears. Default 1.
+	// ColdLimit is the number of requests that a cold server bears. Default 1,
+	// at most Slots.
 	ColdLimit int `json:"coldLimit,omitempty"`
 	// QueueLimit is the number of requests that wait at one gate. Default 2×Slots.
 	QueueLimit int `json:"queueLimit,omitempty"`
@@ -44,7 +47,7 @@
 	// Default 20×Slots.
 	WarmAfter int `json:"warmAfter,omitempty"`
 	// ResendWindow is how long after a restart untimed keys are refused.
-	// Default 20 s.
+	// Default 20 s, 1 s to 10 min.
 	ResendWindow Duration `json:"resendWindow,omitempty"`
 }
 
@@ -77,9 +80,9 @@
 	Host string `json:"host,omitempty"`
 	// Path is the exact path. One of Path and PathPrefix is required.
 	Path string `json:"path,omitempty"`
-	// PathPrefix is a prefix that ends at a path segment.
+	// PathPrefix takes that path and all below it. It ends in / only as "/".
 	PathPrefix string `json:"pathPrefix,omitempty"`
-	// Headers lists exact header values.
+	// Headers lists exact header values by canonical name.
 	Headers map[string]string `json:"headers,omitempty"`
 }
 
@@ -88,7 +91,7 @@
 	Match Match `json:"match"`
 	// Service names the service. Required.
 	Service string `json:"service"`
-	// Timeout bounds the whole request. Default 10 s, at most 10 min.
+	// Timeout bounds the whole request. Default 10 s, 1 ms to 10 min.
 	Timeout Duration `json:"timeout,omitempty"`
 	// Idempotent permits retries of requests that may have run. Default false.
 	Idempotent bool `json:"idempotent,omitempty"`
