--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -14,7 +14,7 @@
 // that operators expect and no two names differ by case alone.
 var fileNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*\.json$`)
 
-var utf8ByteOrderMark = []byte("\xef\xbb\xbf")
+const utf8ByteOrderMark = "\xef\xbb\xbf"
 
 // parser reads one file into a tree and reports each problem that it meets.
 type parser struct {
@@ -57,7 +57,7 @@
 
 // checkSyntax reports the first byte that is not UTF-8 or not JSON.
 func checkSyntax(data []byte) (Problem, bool) {
-	if bytes.HasPrefix(data, utf8ByteOrderMark) {
+	if bytes.HasPrefix(data, []byte(utf8ByteOrderMark)) {
 		return Problem{What: "starts with a byte order mark", Hint: "save the file as UTF-8 without one"}, false
 	}
 	if !utf8.Valid(data) {
