--- /dev/null
+++ b/internal/routing/spread_test.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/host"
+	"boragefall/internal/verdict"
+)
+
+func outstanding(servers []Server) int {
+	sum := 0
+	for _, s := range servers {
+		sum += s.Stats.Outstanding()
+	}
+	return sum
+}
+
+// TestSpillKeepsTheNearUtilisation fills two data centres; the far one gets
+// work only from the spill threshold on, and the near one stays at it until
+// the far one has reached it too.
+func TestSpillKeepsTheNearUtilisation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		near := warmServers(rapid.IntRange(1, 5).Draw(t, "near"), 0)
+		far := warmServers(rapid.IntRange(1, 5).Draw(t, "far"), rapid.IntRange(1, 2).Draw(t, "place"))
+		foreign := rapid.IntRange(0, 5).Draw(t, "foreign") // of other senders, at each near server
+		for _, s := range near {
+			s.Stats.Observe(Load{Running: foreign, Limit: 10, State: host.StateWarm}, start)
+		}
+		p := NewPool(here, "me", append(near, far...), PoolConfig{})
+		source := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)
+		nearFull, farFull := 8*len(near)-foreign*len(near), 8*len(far)
+		for n := 1; n <= nearFull+farFull; n++ {
+			p.Choose(source, nil, start)
+			if got := outstanding(near); got != min(n, nearFull) {
+				t.Fatalf("%d of %d near, want %d", got, n, min(n, nearFull))
+			}
+		}
+	})
+}
+
+// TestSubsetsSpreadEvenlyAndStay looks at the subsets of 300 senders over 60
+// servers in three data centres, before and after one server goes.
+func TestSubsetsSpreadEvenlyAndStay(t *testing.T) {
+	g := NewWithT(t)
+	servers := warmServers(20, 0, 1, 2)
+	uses := map[host.ID]int{}
+	for i := range 300 {
+		me := host.ID(fmt.Sprint("entry", i))
+		before := map[host.ID]bool{}
+		far := 0
+		for _, s := range NewPool(here, me, servers, PoolConfig{}).Servers() {
+			before[s.Host] = true
+			uses[s.Host]++
+			if s.Place != here {
+				far++
+			}
+		}
+		g.Expect(before).To(HaveLen(defaultSubsetSize))
+		g.Expect(far).To(BeNumerically(">=", 1))
+		joined := 0
+		for _, s := range NewPool(here, me, servers[1:], PoolConfig{}).Servers() {
+			if !before[s.Host] {
+				joined++
+			}
+		}
+		g.Expect(joined).To(BeNumerically("<=", 1))
+	}
+	for d, mean := range []int{150, 105, 45} { // 10, 7 and 3 of 20 for each sender
+		for i := range 20 {
+			g.Expect(uses[host.ID(fmt.Sprintf("dc%d-%d", d, i))]).To(BeNumerically("~", mean, 40))
+		}
+	}
+}
+
+// TestSenderKeepsItsShareOfAColdServer runs many senders' goroutines at once;
+// the cold server still gets its part of the requests.
+func TestSenderKeepsItsShareOfAColdServer(t *testing.T) {
+	g := NewWithT(t)
+	servers := warmServers(3, 0)
+	cold := &servers[0]
+	cold.State, cold.Capacity = host.StateCold, 4
+	p := NewPool(here, "me", servers, PoolConfig{Entries: 2}) // a share of 2
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				s, _ := p.Choose(Random{}, nil, start)
+				if s.Host == cold.Host && s.Stats.Outstanding() > 2 {
+					t.Error("more than the share")
+				}
+				s.Stats.Finish(Outcome{At: start})
+			}
+		})
+	}
+	wg.Wait()
+	for _, free := range []bool{true, true, false} { // two choices that saw the same last place
+		g.Expect(cold.Stats.beginBelow(2)).To(Equal(free))
+	}
+	cold.Stats.outstanding.Store(0)
+	source, taken := rand.NewPCG(1, 2), 0
+	for range 2400 {
+		s, _ := p.Choose(source, nil, start)
+		if s.Host == cold.Host {
+			taken++
+		}
+		s.Stats.Finish(Outcome{At: start})
+	}
+	g.Expect(taken).To(BeNumerically("~", 400, 60)) // 4 of a capacity of 24
+}
+
+func TestStaleLoadReportFades(t *testing.T) {
+	g := NewWithT(t)
+	servers := warmServers(2, 0)
+	servers[0].Stats.Observe(Load{Running: 10, Limit: 10, State: host.StateWarm}, start)
+	p := NewPool(here, "me", servers, PoolConfig{})
+	for age, load := range map[time.Duration]int64{0: 10, time.Second: 5, 2 * time.Second: 0} {
+		c, _ := p.assess(int(indexOf(p, servers[0].Host)), start.Add(age).UnixNano())
+		g.Expect(c.load).To(Equal(load))
+	}
+}
+
+func indexOf(p *Pool, id host.ID) int {
+	for i := range p.servers {
+		if p.servers[i].Host == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestServerThatDropsConnectionsIsTriedByOneRequestAfterTheBackOff(t *testing.T) {
+	g := NewWithT(t)
+	servers := warmServers(1, 0, 1)
+	broken := servers[0].Stats
+	for range failuresToBackOff {
+		broken.Begin()
+		broken.Finish(Outcome{At: start, Err: verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, nil)})
+	}
+	p := NewPool(here, "me", servers, PoolConfig{})
+	choose := func(now time.Time) host.ID {
+		s, _ := p.Choose(rand.NewPCG(1, 2), nil, now)
+		return s.Host
+	}
+	g.Expect(choose(start)).To(Equal(servers[1].Host))
+	g.Expect(choose(start.Add(backOffBase))).To(Equal(servers[0].Host))
+	g.Expect(choose(start.Add(backOffBase))).To(Equal(servers[1].Host))
+	broken.Finish(Outcome{At: start})
+	g.Expect(choose(start)).To(Equal(servers[0].Host))
+}
+
+func TestHostLeavesWhileRequestsRun(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory(DirectoryConfig{Place: here, Host: "me"}, NewBook())
+	update := func(leaving bool) *Pool {
+		servers := warmServers(2, 0)
+		servers[0].Leaving = leaving
+		d.Update([]ServiceServers{{Service: "s", Servers: servers}})
+		p, _ := d.Pool("s")
+		return p
+	}
+	before := update(false)
+	running, _ := before.Choose(rand.NewPCG(1, 2), []host.ID{"dc0-1"}, start)
+	g.Expect(update(false)).To(BeIdenticalTo(before))
+	_, ok := update(true).Choose(rand.NewPCG(1, 2), []host.ID{"dc0-1"}, start)
+	g.Expect(ok).To(BeFalse())
+	listed, _ := d.Server("dc0-0")
+	g.Expect(listed.Stats).To(BeIdenticalTo(running.Stats))
+	g.Expect(listed.Stats.Outstanding()).To(Equal(1))
+	d.Update(nil)
+	_, ok = d.Pool("s")
+	g.Expect(ok).To(BeFalse())
+}
