Add the demo and the load; hold a cold server at its limit until it is warm

Cause: the demo counted 6 overloads of cold servers in 10 s. The gate raised its limit one slot for each 22 good answers, while a server bears the cold limit until it has given WarmAfter of them. Ruled out: a request of an earlier attempt still running, since the record shows no cancelled run on those hosts. Change: the cold limit holds for WarmAfter good answers; from then on one slot a round. Open: keyed requests are refused while the fleet's leases begin.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -53,6 +53,7 @@
 		statusCommand(streams),
 		waitCommand(streams),
 		standinCommand(streams),
+		demoCommand(streams),
 		versionCommand(streams),
 	}
 }
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -184,6 +184,7 @@
 func (g *Gate) dispatchSuspect(now time.Time) {
 	for {
 		room := g.running.count < min(g.limiter.current(now), g.cfg.Service.ColdLimit)
+		room = room && !g.suspectRuns(now)
 		w := g.isolation.next(now, room)
 		if w == nil {
 			return
@@ -265,3 +266,18 @@
 		w.reply(admission{err: g.refuse(verdict.ReasonLeaving, now)})
 	}
 }
+
+// suspectRuns reports whether a request on the server has become suspect since
+// it was admitted. It may have started after the crash, and one more crash
+// beside another suspect would convict it for nothing.
+func (g *Gate) suspectRuns(now time.Time) bool {
+	if g.quarantine.empty() {
+		return false
+	}
+	for p := g.running.head; p != nil; p = p.next {
+		if g.quarantine.suspected(p.request.Fingerprint, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -50,8 +50,8 @@
 	// limit is what answers have proved, before hints and probation lower it.
 	limit int
 	warm  bool
-	// proved counts the good answers at the limit since the server was cold,
-	// and credit those at the present limit.
+	// proved counts the good answers since the server turned cold, and credit
+	// those at the present limit while it was full.
 	proved int
 	credit int
 	// epoch counts the doubts about the server. Answers to requests admitted in
@@ -134,11 +134,22 @@
 		l.probe(e)
 		return
 	}
+	if !l.warm {
+		l.warmUp()
+		return
+	}
 	if e.full && e.limit == l.limit {
 		l.raise()
 	}
 }
 
+// warmUp counts one good answer of a cold server. It bears no more than the
+// cold limit until it has given WarmAfter of them, whatever its latency says.
+func (l *limiter) warmUp() {
+	l.proved++
+	l.warm = l.proved >= l.cfg.Service.WarmAfter
+}
+
 // answered notes that the server lives and reports whether it restarted.
 func (l *limiter) answered(e evidence) bool {
 	if e.epoch == l.epoch {
@@ -164,32 +175,17 @@
 	return append(boots, bootID)
 }
 
-// raise counts one good answer at the present limit and takes a step when
-// there are enough of them.
+// raise counts one good answer at the present limit and takes a step after one
+// round of them.
 func (l *limiter) raise() {
 	l.credit++
-	l.proved++
-	if !l.warm && l.proved >= l.cfg.Service.WarmAfter {
-		l.warm = true
-	}
-	if l.credit < l.answersPerStep() {
+	if l.credit < l.limit {
 		return
 	}
 	l.credit = 0
 	l.limit = min(l.limit+1, l.cfg.Service.Slots)
 }
 
-// answersPerStep is how many good answers one step takes: a cold server
-// spreads WarmAfter over the steps to its slots, a warm one that was lowered
-// needs one round at its present limit.
-func (l *limiter) answersPerStep() int {
-	if l.warm {
-		return max(1, l.limit)
-	}
-	steps := max(1, l.cfg.Service.Slots-l.cfg.Service.ColdLimit)
-	return max(1, (l.cfg.Service.WarmAfter+steps-1)/steps)
-}
-
 // slow takes in a slow answer: no step at this limit, and perhaps an alarm.
 func (l *limiter) slow() {
 	l.credit = 0
--- /dev/null
+++ b/internal/workload/tally.go
@@ -0,0 +1,149 @@
+package workload
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"boragefall/internal/standin"
+	"boragefall/internal/verdict"
+)
+
+// Bounds of the latency histograms, in microseconds.
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+)
+
+// Tally counts the results of a load. It is safe for concurrent use.
+type Tally struct {
+	record *standin.Record
+
+	mu      sync.Mutex
+	kinds   map[string]*kindTally
+	tries   int
+	refusal map[string]int
+	ends    []ending
+	wrong   int
+}
+
+// kindTally counts one kind of operation.
+type kindTally struct {
+	count      int
+	good       int
+	byVerdict  map[string]int
+	latency    *hdrhistogram.Histogram
+	idempotent bool
+}
+
+// ending is what a caller was told in the end, to compare with the record.
+type ending struct {
+	operation  string
+	idempotent bool
+	good       bool
+	notRun     bool
+}
+
+// NewTally returns an empty tally that compares with a record.
+func NewTally(record *standin.Record) *Tally {
+	return &Tally{record: record, kinds: map[string]*kindTally{}, refusal: map[string]int{}}
+}
+
+func (t *Tally) tried(r reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tries++
+	if r.refused {
+		t.refusal[r.verdict.String()]++
+	}
+	if r.wrong && r.status != 0 {
+		t.wrong++
+	}
+}
+
+func (t *Tally) ended(p *performance, last reply, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.kind(p.operation)
+	k.count++
+	if last.good() {
+		k.good++
+		_ = k.latency.RecordValue(min(max(took.Microseconds(), lowestMicros), highestMicros))
+	} else {
+		k.byVerdict[failure(last)]++
+	}
+	t.ends = append(t.ends, ending{
+		operation:  last.operation,
+		idempotent: p.operation.Idempotent,
+		good:       last.good(),
+		notRun:     last.refused && last.verdict == verdict.NotRun,
+	})
+}
+
+// failure names how an operation failed in its caller's eyes.
+func failure(r reply) string {
+	switch {
+	case r.refused:
+		return r.verdict.String()
+	case r.status != 0 && !r.wrong:
+		return "server-error"
+	default:
+		return "no-answer"
+	}
+}
+
+func (t *Tally) kind(o Operation) *kindTally {
+	k, ok := t.kinds[o.Name]
+	if !ok {
+		k = &kindTally{
+			byVerdict:  map[string]int{},
+			latency:    hdrhistogram.New(lowestMicros, highestMicros, digits),
+			idempotent: o.Idempotent,
+		}
+		t.kinds[o.Name] = k
+	}
+	return k
+}
+
+// KindResult is the result of one kind of operation.
+type KindResult struct {
+	Operations int            `json:"operations"`
+	Good       int            `json:"good"`
+	Failed     map[string]int `json:"failed,omitempty"`
+	P50Ms      float64        `json:"p50Ms"`
+	P99Ms      float64        `json:"p99Ms"`
+	MaxMs      float64        `json:"maxMs"`
+}
+
+// Result is the result of a load.
+type Result struct {
+	Operations int                   `json:"operations"`
+	Good       int                   `json:"good"`
+	Tries      int                   `json:"tries"`
+	Refusals   map[string]int        `json:"refusals"`
+	Kinds      map[string]KindResult `json:"kinds"`
+}
+
+// Result returns what was counted so far.
+func (t *Tally) Result() Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := Result{Tries: t.tries, Refusals: t.refusal, Kinds: map[string]KindResult{}}
+	for name, k := range t.kinds {
+		out.Operations += k.count
+		out.Good += k.good
+		out.Kinds[name] = KindResult{
+			Operations: k.count, Good: k.good, Failed: k.byVerdict,
+			P50Ms: millis(k.latency.ValueAtQuantile(50)),
+			P99Ms: millis(k.latency.ValueAtQuantile(99)),
+			MaxMs: millis(k.latency.Max()),
+		}
+	}
+	return out
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / 1000
+}
