Tell not-run of a keyed request only where a gate proves it

Cause: an entry's own refusal, or a gate that lacks the service, said not-run of a keyed request whose earlier send may have run. Now such refusals say may-have-run; a gate's refusal after it looked into its ledger, or a fence, is a proof that covers earlier attempts too, and an entry follows a gate to a newer host list whatever the verdict, since only gates decide.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -28,18 +28,18 @@
 // run serves the request. A refusal means that nothing was written yet.
 func (x *exchange) run(ctx context.Context) *verdict.Error {
 	if refusal := x.match(); refusal != nil {
-		return refusal
+		return x.unproved(refusal)
 	}
 	end, refusal := x.handler.cfg.Fairness.Admit(x.request.Caller, x.started)
 	if refusal != nil {
-		return refusal
+		return x.unproved(refusal)
 	}
 	defer end()
 	ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
 	body, refusal := x.takeBody(ctx)
 	if refusal != nil {
-		return refusal
+		return x.unproved(refusal)
 	}
 	defer body.Close()
 	if refusal := x.setKey(body); refusal != nil {
@@ -53,6 +53,21 @@
 	return nil
 }
 
+// unproved turns the entry's own refusal of a keyed request into MayHaveRun:
+// an earlier send of the same key may have run, and the entry can't know.
+func (x *exchange) unproved(refusal *verdict.Error) *verdict.Error {
+	keyed := x.c.Request.Header.Get(contract.HeaderKey) != ""
+	if keyed && !x.request.Idempotent && !safe(x.c.Request.Method) {
+		refusal.Verdict = verdict.MayHaveRun
+	}
+	return refusal
+}
+
+// safe reports whether a method never changes anything (RFC 9110, 9.2.1).
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
 // match fills the request from the HTTP request and its route.
 func (x *exchange) match() *verdict.Error {
 	in := x.c.Request
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -89,6 +89,9 @@
 		// host, so nothing is proved.
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUnreachable, nil)
 	}
+	if !body.Replayable() {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBadRequest, nil)
+	}
 	server.Stats.Begin()
 	return d.attempt(ctx, server, r, body)
 }
--- a/internal/lasthop/hop.go
+++ b/internal/lasthop/hop.go
@@ -71,13 +71,23 @@
 
 func (h *Hop) run(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
 	service, refusal := h.resource(r)
-	if refusal != nil {
+	switch {
+	case refusal != nil && keyed(r):
+		// An earlier send of the key may have run before the resource went.
+		refusal.Verdict = verdict.MayHaveRun
 		return nil, refusal
-	}
-	if r.Key == "" || r.Idempotent || r.KeyMinted {
+	case refusal != nil:
+		return nil, refusal
+	case keyed(r):
+		return h.runKeyed(ctx, r, service)
+	default:
 		return h.runOnce(ctx, r)
 	}
-	return h.runKeyed(ctx, r, service)
+}
+
+// keyed reports whether other processes may send the same key.
+func keyed(r *contract.Request) bool {
+	return r.Key != "" && !r.Idempotent && !r.KeyMinted
 }
 
 // resource returns the service when this host can serve the request at all.
--- a/internal/retry/keyed.go
+++ b/internal/retry/keyed.go
@@ -59,7 +59,7 @@
 	switch {
 	case failure.HostListRevision > a.HostListRevision:
 		return p.keyedNewView(failure)
-	case failure.Verdict == verdict.NotRun && failure.Fenced:
+	case failure.Fenced:
 		return p.keyedNextRank(failure, a)
 	case lostContact(failure):
 		return p.keyedAskAgain(failure, a.Now)
@@ -68,16 +68,19 @@
 	}
 }
 
-// noteKeyed keeps what the failure says of the key. A fence covers earlier
-// attempts at the same host too, since the host looked into its ledger; a lost
-// contact or a bare refusal doesn't.
+// noteKeyed keeps what the failure says of the key. A fence, or a gate's word
+// that the key did not run, covers earlier attempts too: only the gate that
+// alone may run the key gives it, and it looked into its ledger. A lost contact
+// proves nothing, whatever the link says of the attempt.
 func (p *Plan) noteKeyed(failure *verdict.Error, asked host.ID) {
 	switch {
-	case failure.Verdict == verdict.NotRun && failure.Fenced:
+	case failure.Fenced:
 		p.keyed.fenced = append(p.keyed.fenced, asked)
 		p.mayHaveRun = false
 	case failure.Verdict == verdict.MayHaveRun || lostContact(failure):
 		p.mayHaveRun = true
+	case failure.Verdict == verdict.NotRun:
+		p.mayHaveRun = false
 	}
 }
 
@@ -111,12 +114,9 @@
 	}
 }
 
-// keyedNewView ranks again by the view of a gate that knows a newer one. The
-// new first host may be another one, so no attempt may have run before.
+// keyedNewView ranks again by the view of a gate that knows a newer one. Asking
+// another gate is always safe: a gate runs a key only if no other can.
 func (p *Plan) keyedNewView(failure *verdict.Error) KeyedDecision {
-	if failure.Verdict != verdict.NotRun || p.mayHaveRun {
-		return p.keyedStop(failure, WhyVerdict)
-	}
 	if p.keyed.refreshes >= defaultKeyedRefreshes {
 		return p.keyedStop(failure, WhyLimit)
 	}
--- a/internal/workload/demo.go
+++ b/internal/workload/demo.go
@@ -59,6 +59,10 @@
 		return DemoResult{}, err
 	}
 	defer fleet.Close()
+	cfg.Progress("waiting for the leases")
+	if err := fleet.WaitKeys(ctx); err != nil {
+		return DemoResult{}, err
+	}
 	run := &demo{fleet: fleet, cfg: cfg, tally: NewTally(fleet.Record)}
 	return run.run(ctx), nil
 }
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -14,6 +14,7 @@
 	"boragefall/internal/config"
 	"boragefall/internal/datacentre"
 	"boragefall/internal/host"
+	"boragefall/internal/idempotency"
 	"boragefall/internal/node"
 	"boragefall/internal/settings"
 	"boragefall/internal/standin"
@@ -58,6 +59,7 @@
 
 	mu       sync.Mutex
 	node     *node.Node
+	sockets  node.Listeners // of the first start; a restart listens anew
 	settings settings.Settings
 }
 
@@ -143,19 +145,22 @@
 	if err != nil {
 		return eris.Wrap(err, "start server")
 	}
-	addresses, err := freeAddresses(3)
+	listeners, err := openListeners()
 	if err != nil {
 		return err
 	}
+	linkAddress := listeners.Link.Addr().String()
 	place := datacentre.Place{Region: f.Deployment.Region, DataCentre: centre}
 	m := &Member{
-		Listing: host.Listing{ID: id, Address: addresses[0], Place: place, Service: size.Name},
+		Listing: host.Listing{ID: id, Address: linkAddress, Place: place, Service: size.Name},
 		Server:  server,
+		sockets: listeners,
 		settings: settings.Settings{
 			Host: string(id), DataCentre: string(centre), Region: string(place.Region),
 			Service: size.Name, Backend: server.Address(),
 			HealthPath: standin.PathHealth, LoadPath: standin.PathLoad,
-			LinkListen: addresses[0], CallersListen: addresses[1], AdminListen: addresses[2],
+			LinkListen: linkAddress, CallersListen: listeners.Callers.Addr().String(),
+			AdminListen: listeners.Admin.Addr().String(),
 			Platform: f.url, LogLevel: "info", TraceExporter: "off",
 			DrainLimit: f.cfg.DrainLimit, ControlBytesPerSecond: 7000,
 		},
@@ -167,18 +172,18 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
+// openListeners opens a node's sockets on free loopback ports. They stay open
+// until the node takes them, so that nothing else gets the ports.
+func openListeners() (node.Listeners, error) {
+	var opened [3]net.Listener
+	for i := range opened {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, eris.Wrap(err, "find a free address")
+			return node.Listeners{}, eris.Wrap(err, "find a free address")
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		opened[i] = listener
 	}
-	return addresses, nil
+	return node.Listeners{Link: opened[0], Callers: opened[1], Admin: opened[2]}, nil
 }
 
 // bootPeers names a few nodes that every other asks first at its start.
@@ -203,12 +208,13 @@
 
 // StartNode starts the node of a member that has none.
 func (f *Fleet) StartNode(ctx context.Context, m *Member) error {
-	n, err := node.Start(ctx, m.settings, node.Options{Logger: f.cfg.Logger})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, err := node.Start(ctx, m.settings, node.Options{Logger: f.cfg.Logger, Listeners: m.sockets})
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.sockets = node.Listeners{}
 	m.node = n
 	return nil
 }
@@ -241,6 +247,24 @@
 	readyPoll    = 20 * time.Millisecond
 )
 
+// WaitKeys waits until every gate holds a lease and takes keys minted now.
+func (f *Fleet) WaitKeys(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, m := range f.Members {
+		for n := m.Node(); n != nil && n.Status().LeaseSeconds <= 0; {
+			select {
+			case <-time.After(readyPoll):
+			case <-ctx.Done():
+				return eris.Wrapf(ErrNotReady, "%s has no lease", m.Listing.ID)
+			}
+		}
+	}
+	// A gate that began to own keys takes those minted a clock bound later.
+	time.Sleep(2*idempotency.ClockBound + readyPoll)
+	return nil
+}
+
 // WaitReady waits until every running node is ready and knows all hosts.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
