Test links, exchanges and the backend client under failure; let Kill end a node

Cause of the fault in Kill: it passed a context that was over already, and then no stop hook ran at all. Now the planned part is skipped and the rest closes. The backend tests hung twice while they were written: net/http notices that a client left only once the request's body was read, and a response that was never flushed does not reach the client; the tests now do both.

--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,142 @@
+package backend_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/backend"
+	"boragefall/internal/contract"
+	"boragefall/internal/verdict"
+)
+
+func TestBackend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "backend")
+}
+
+func order(body string) *contract.Request {
+	return &contract.Request{
+		ID: "r1", Method: http.MethodPost, URI: "/orders", Host: "mesh",
+		Header:   http.Header{contract.HeaderKey: {"k1"}},
+		Deadline: time.Now().Add(time.Minute),
+		Body:     strings.NewReader(body), ContentLength: int64(len(body)),
+	}
+}
+
+func start(handler http.HandlerFunc) (*backend.Client, *httptest.Server) {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	client := backend.NewClient(backend.Config{Address: strings.TrimPrefix(server.URL, "http://"), Connections: 4})
+	DeferCleanup(client.Close)
+	return client, server
+}
+
+func read(a *contract.Answer) (string, error) {
+	defer func() { _ = a.Body.Close() }()
+	data, err := io.ReadAll(a.Body)
+	return string(data), err
+}
+
+var _ = Describe("Client", func() {
+	// net/http sends a request with an Idempotency-Key a second time on its
+	// own when a reused connection breaks.
+	DescribeTable("sends a request once when a kept connection breaks",
+		func(body string) {
+			var runs atomic.Int64
+			client, _ := start(func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) > 1 {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err == nil {
+						_ = conn.Close()
+					}
+				}
+			})
+			first, err := client.Do(context.Background(), order(body))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = read(first)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = client.Do(context.Background(), order(body))
+			Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+			Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonConnectionLost))
+			Expect(runs.Load()).To(Equal(int64(2)), "one run of each request")
+		},
+		Entry("with a body", "battery"),
+		Entry("without a body", ""),
+	)
+
+	It("proves that a request did not run when the connection is refused", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = backend.NewClient(backend.Config{Address: address}).Do(context.Background(), order("x"))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonUnreachable))
+	})
+
+	It("reports a cut answer as an error", func() {
+		client, _ := start(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "short")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		answer, err := client.Do(context.Background(), order("x"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = read(answer)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("says may-have-run of a deadline that passes in the run", func() {
+		client, _ := start(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // only then net/http notices that the client left
+			<-r.Context().Done()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := client.Do(ctx, order("x"))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonDeadline))
+	})
+
+	It("passes on trailers, deadline and hops, and keeps hop-by-hop headers back", func() {
+		client, _ := start(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Trailer", "T1")
+			w.Header().Set("Keep-Alive", "timeout=5")
+			_, _ = io.WriteString(w, r.Header.Get(contract.HeaderHops)+r.Host)
+			w.Header().Set("T1", "v1")
+		})
+		r := order("x")
+		r.Hops = 3
+		answer, err := client.Do(context.Background(), r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Header).NotTo(HaveKey("Keep-Alive"))
+		body, err := read(answer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("3mesh"))
+		Expect(answer.Trailer()).To(Equal(http.Header{"T1": {"v1"}}))
+	})
+
+	It("takes a probe's word only as far as it goes", func() {
+		client, _ := start(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/health" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			_, _ = io.WriteString(w, "not a number")
+		})
+		probe := client.Probe(context.Background(), backend.ProbeConfig{HealthPath: "/health", LoadPath: "/load"})
+		Expect(probe).To(Equal(backend.Probe{}))
+	})
+})
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,249 @@
+package exchange_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/config"
+	"boragefall/internal/contract"
+	"boragefall/internal/exchange"
+	"boragefall/internal/host"
+	"boragefall/internal/link"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+func TestExchange(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "exchange")
+}
+
+// runner is a last hop that a test scripts.
+type runner func(ctx context.Context, r *contract.Request) (*contract.Answer, error)
+
+func (f runner) Run(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
+	return f(ctx, r)
+}
+
+// serve hands request streams to an exchange server, or to raw when set.
+type serve struct {
+	server *exchange.Server
+	raw    func(head *wire.RequestHead, stream *link.Stream)
+}
+
+func (s serve) ServeStream(ctx context.Context, _ link.Class, opening *wire.Opening, stream *link.Stream) {
+	if s.raw != nil {
+		s.raw(opening.GetRequest(), stream)
+		return
+	}
+	s.server.Serve(ctx, opening.GetRequest(), stream)
+}
+
+// pair returns a client and the address of a server with a scripted last hop.
+func pair(run runner, raw func(*wire.RequestHead, *link.Stream)) (*exchange.Client, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	version := func() config.Version { return config.Version{Epoch: 1, Revision: 2} }
+	handler := serve{server: exchange.NewServer(run, version, telemetry.Silent()), raw: raw}
+	server := link.NewListener(link.Config{}, link.Identity{}, &link.Counter{}, listener, handler, telemetry.Silent())
+	go server.Serve(context.Background())
+	dialer := link.NewDialer(link.Config{}, link.ClassRequest, link.Identity{}, &link.Counter{})
+	DeferCleanup(func() {
+		dialer.Close()
+		server.Close()
+	})
+	return exchange.NewClient(dialer), server.Address()
+}
+
+func request(body io.Reader, length int64) *contract.Request {
+	return &contract.Request{
+		ID: "r1", Method: http.MethodPost, URI: "/x", Service: "status", Header: http.Header{"A": {"b", "c"}},
+		Deadline: time.Now().Add(time.Minute), Body: body, ContentLength: length,
+		Fences: []host.ID{"h1"}, KeyTime: time.UnixMilli(1234), Priority: config.PriorityHigh,
+	}
+}
+
+func answerOf(body io.Reader, length int64) *contract.Answer {
+	return &contract.Answer{
+		Status: 200, Header: http.Header{"X": {"y"}}, ContentLength: length,
+		Trailer: func() http.Header { return http.Header{"T": {"v"}} },
+		Load:    contract.Load{Running: 3, Limit: 9, State: host.StateWarm},
+		Body:    io.NopCloser(body),
+	}
+}
+
+func random(n int) []byte {
+	data := make([]byte, n)
+	source := rand.NewChaCha8([32]byte{1})
+	_, _ = source.Read(data)
+	return data
+}
+
+var _ = Describe("an exchange", func() {
+	It("carries a large body both ways, whole", func() {
+		data := random(5<<20 + 17)
+		client, address := pair(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+			defer GinkgoRecover()
+			got, err := io.ReadAll(r.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Header).To(Equal(http.Header{"A": {"b", "c"}}))
+			Expect(r.Fences).To(Equal([]host.ID{"h1"}))
+			Expect(r.KeyTime.UnixMilli()).To(Equal(int64(1234)))
+			Expect(r.Priority).To(Equal(config.PriorityHigh))
+			return answerOf(bytes.NewReader(got), -1), nil
+		}, nil)
+		answer, err := client.Do(context.Background(), address, request(bytes.NewReader(data), int64(len(data))))
+		Expect(err).NotTo(HaveOccurred())
+		got, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body.Close()).To(Succeed())
+		Expect(sha256.Sum256(got)).To(Equal(sha256.Sum256(data)))
+		Expect(answer.Trailer()).To(Equal(http.Header{"T": {"v"}}))
+		Expect(answer.Load).To(Equal(contract.Load{Running: 3, Limit: 9, State: host.StateWarm}))
+	})
+
+	It("carries announced trailers of a request", func() {
+		client, address := pair(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+			defer GinkgoRecover()
+			Expect(r.Trailer).To(HaveKey("Digest"))
+			_, err := io.Copy(io.Discard, r.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return answerOf(bytes.NewBufferString(r.Trailer.Get("Digest")), -1), nil
+		}, nil)
+		r := request(bytes.NewBufferString("abc"), -1)
+		r.Trailer = http.Header{"Digest": {"d1"}}
+		answer, err := client.Do(context.Background(), address, r)
+		Expect(err).NotTo(HaveOccurred())
+		got, _ := io.ReadAll(answer.Body)
+		Expect(string(got)).To(Equal("d1"))
+		_ = answer.Body.Close()
+	})
+
+	It("carries a refusal with its verdict, also while an upload runs", func() {
+		client, address := pair(func(context.Context, *contract.Request) (*contract.Answer, error) {
+			e := verdict.Refuse(verdict.ReasonLeaving, 7*time.Second)
+			e.Fenced = true
+			e.HostListRevision = 12
+			return nil, e
+		}, nil)
+		_, err := client.Do(context.Background(), address, request(bytes.NewReader(random(4<<20)), 4<<20))
+		e := verdict.Of(err)
+		Expect(*e).To(Equal(verdict.Error{
+			Verdict: verdict.NotRun, Reason: verdict.ReasonLeaving, RetryAfter: 7 * time.Second, Fenced: true, HostListRevision: 12,
+		}))
+	})
+
+	DescribeTable("never passes a short answer off as whole",
+		func(length int64, after func() error) {
+			client, address := pair(func(context.Context, *contract.Request) (*contract.Answer, error) {
+				body := io.MultiReader(bytes.NewReader(random(100)), readerFunc(after))
+				return answerOf(body, length), nil
+			}, nil)
+			answer, err := client.Do(context.Background(), address, request(http.NoBody, 0))
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = answer.Body.Close() }()
+			_, err = io.ReadAll(answer.Body)
+			Expect(err).To(MatchError(exchange.ErrCut))
+		},
+		Entry("the server died in the answer", int64(-1), func() error { return io.ErrUnexpectedEOF }),
+		Entry("the answer is shorter than stated", int64(200), func() error { return io.EOF }),
+		Entry("the answer is longer than stated", int64(50), func() error { return io.EOF }),
+	)
+
+	It("gives the gate an error, not an end, when the caller's upload is cut", func() {
+		seen := make(chan error, 1)
+		client, address := pair(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+			_, err := io.ReadAll(r.Body)
+			seen <- err
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBadRequest, err)
+		}, nil)
+		body := io.MultiReader(bytes.NewReader(random(100)), readerFunc(func() error { return io.ErrUnexpectedEOF }))
+		_, err := client.Do(context.Background(), address, request(body, 1000))
+		Expect(err).To(HaveOccurred())
+		Eventually(seen, "20s").Should(Receive(MatchError(exchange.ErrCut)))
+	})
+
+	It("rejects a crossed answer", func() {
+		client, address := pair(nil, func(_ *wire.RequestHead, stream *link.Stream) {
+			_ = stream.Send(&wire.AnswerHead{Id: "another", Status: 200})
+			_ = stream.Flush()
+		})
+		_, err := client.Do(context.Background(), address, request(http.NoBody, 0))
+		Expect(err).To(MatchError(exchange.ErrCrossed))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+	})
+
+	It("says may-have-run when the link dies after the request was sent", func() {
+		client, address := pair(nil, func(*wire.RequestHead, *link.Stream) {})
+		_, err := client.Do(context.Background(), address, request(http.NoBody, 0))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonConnectionLost))
+	})
+
+	It("cancels the run when the caller leaves", func() {
+		running, ended := make(chan struct{}), make(chan error, 1)
+		client, address := pair(func(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			close(running)
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, ctx.Err())
+		}, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-running
+			cancel()
+		}()
+		_, err := client.Do(ctx, address, request(bytes.NewReader(random(10)), 10))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonCanceled))
+		Eventually(ended, "20s").Should(Receive(MatchError(context.Canceled)))
+	})
+
+	It("cancels the run when the caller leaves in the answer", func() {
+		ended := make(chan struct{})
+		client, address := pair(func(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			endless := readerFunc(func() error { return nil })
+			context.AfterFunc(ctx, func() { close(ended) })
+			return answerOf(endless, -1), nil
+		}, nil)
+		answer, err := client.Do(context.Background(), address, request(http.NoBody, 0))
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = answer.Body.Read(make([]byte, 10))
+		_ = answer.Body.Close()
+		Eventually(ended, "20s").Should(BeClosed())
+	})
+
+	It("says not-run when no link could be made", func() {
+		client, _ := pair(nil, nil)
+		closed, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := closed.Addr().String()
+		Expect(closed.Close()).To(Succeed())
+		_, err = client.Do(context.Background(), address, request(http.NoBody, 0))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+		Expect(errors.Is(err, link.ErrUnreachable)).To(BeTrue())
+	})
+})
+
+// readerFunc yields zeros while it returns nil, and its error otherwise.
+type readerFunc func() error
+
+func (f readerFunc) Read(p []byte) (int, error) {
+	if err := f(); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,165 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"boragefall/internal/link"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/wire"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+// echo answers each pull with whether it asked for the manifest.
+type echo struct{}
+
+func (echo) ServeStream(_ context.Context, _ link.Class, opening *wire.Opening, stream *link.Stream) {
+	if stream.Send(&wire.PullAnswer{Held: opening.GetPull().GetManifest()}) == nil {
+		_ = stream.Flush()
+	}
+}
+
+func listen(address string) *link.Listener {
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	l := link.NewListener(link.Config{}, link.Identity{Host: "server"}, &link.Counter{}, listener, echo{}, telemetry.Silent())
+	go l.Serve(context.Background())
+	return l
+}
+
+func ask(d *link.Dialer, address string) (*wire.PullAnswer, error) {
+	opening := &wire.Opening{Kind: &wire.Opening_Pull{Pull: &wire.Pull{Manifest: true}}}
+	stream, err := d.Open(context.Background(), address, opening)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	if err := stream.Flush(); err != nil {
+		return nil, err
+	}
+	answer := &wire.PullAnswer{}
+	return answer, stream.Receive(answer)
+}
+
+// rawSession speaks yamux by hand, so that a test can break the protocol.
+func rawSession(address string) *yamux.Session {
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Write([]byte{byte(link.ClassRequest)})
+	Expect(err).NotTo(HaveOccurred())
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = io.Discard
+	session, err := yamux.Client(conn, cfg)
+	Expect(err).NotTo(HaveOccurred())
+	return session
+}
+
+var _ = Describe("Dialer and Listener", func() {
+	var listener *link.Listener
+	var dialer *link.Dialer
+	var counter *link.Counter
+
+	BeforeEach(func() {
+		listener = listen("127.0.0.1:0")
+		counter = &link.Counter{}
+		dialer = link.NewDialer(link.Config{}, link.ClassControl, link.Identity{Host: "client"}, counter)
+		DeferCleanup(func() {
+			dialer.Close()
+			listener.Close()
+		})
+	})
+
+	It("exchange messages and count the bytes of the class", func() {
+		answer, err := ask(dialer, listener.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.GetHeld()).To(BeTrue())
+		Expect(counter.Sent(link.ClassControl)).To(BeNumerically(">", 0))
+		Expect(counter.Sent(link.ClassRequest)).To(BeZero())
+	})
+
+	It("redial after the peer's process ended", func() {
+		_, err := ask(dialer, listener.Address())
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Address()
+		listener.Close()
+		Eventually(func() error { _, err := ask(dialer, address); return err }).Should(HaveOccurred())
+		listener = listen(address)
+		Eventually(func() error { _, err := ask(dialer, address); return err }, "20s").Should(Succeed())
+	})
+
+	It("say that nothing was sent when no link could be made", func() {
+		address := listener.Address()
+		listener.Close()
+		_, err := ask(dialer, address)
+		Expect(err).To(MatchError(link.ErrUnreachable))
+		_, err = ask(dialer, address)
+		Expect(err).To(MatchError(ContainSubstring("waiting to redial")))
+	})
+
+	It("close idle links and forget the peer", func() {
+		_, err := ask(dialer, listener.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dialer.Links()).To(Equal(1))
+		Eventually(func() int {
+			dialer.CloseIdle(time.Now().Add(time.Hour))
+			return dialer.Links()
+		}, "20s").Should(BeZero())
+	})
+
+	DescribeTable("close only the link that breaks the protocol",
+		func(bytes []byte) {
+			_, err := ask(dialer, listener.Address())
+			Expect(err).NotTo(HaveOccurred())
+			bad := rawSession(listener.Address())
+			stream, err := bad.OpenStream()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Write(bytes)
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(bad.CloseChan(), "20s").Should(BeClosed())
+			Expect(dialer.Links()).To(Equal(1))
+			_, err = ask(dialer, listener.Address())
+			Expect(err).NotTo(HaveOccurred())
+		},
+		Entry("a message that can't be decoded", []byte{3, 0xff, 0xff, 0xff}),
+		Entry("an over-long message", binary.AppendUvarint(nil, link.MaxFrameBytes+1)),
+	)
+
+	It("meet a peer of a newer protocol version", func() {
+		session := rawSession(listener.Address())
+		defer func() { _ = session.Close() }()
+		stream, err := session.OpenStream()
+		Expect(err).NotTo(HaveOccurred())
+		hello := &wire.Hello{Protocol: link.ProtocolVersion + 7, Host: "future"}
+		hello.ProtoReflect().SetUnknown([]byte{0xa0, 0x06, 0x01}) // field 100
+		Expect(link.WriteFrame(stream, &wire.Opening{Kind: &wire.Opening_Hello{Hello: hello}})).To(Succeed())
+		answer := &wire.Hello{}
+		Expect(link.ReadFrame(bufio.NewReader(stream), answer)).To(Succeed())
+		Expect(answer.GetProtocol()).To(Equal(uint32(link.ProtocolVersion)))
+	})
+
+	It("leave an opening of an unknown kind unanswered without harm", func() {
+		session := rawSession(listener.Address())
+		defer func() { _ = session.Close() }()
+		stream, err := session.OpenStream()
+		Expect(err).NotTo(HaveOccurred())
+		opening := &wire.Opening{}
+		opening.ProtoReflect().SetUnknown([]byte{0xa0, 0x06, 0x01})
+		Expect(link.WriteFrame(stream, opening)).To(Succeed())
+		Expect(proto.Equal(opening, &wire.Opening{})).To(BeFalse())
+		Consistently(session.IsClosed).Should(BeFalse())
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,8 +84,8 @@
 // Kill ends the node at once, as a crash would, as far as one process allows.
 func (n *Node) Kill() {
 	n.parts.Stopper.kill()
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
 	_ = n.app.Stop(ctx)
 }
 
