--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,170 @@
+package platform
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/config"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platform")
+}
+
+// fakeService answers calls in memory. Its hooks change it between calls.
+type fakeService struct {
+	revision uint64
+	files    map[string]string
+	calls    []string
+	status   int                 // answered to every call unless 0
+	before   func(path string)   // runs before each call
+	mangle   func(string) string // changes values on their way
+}
+
+func (s *fakeService) RoundTrip(r *http.Request) (*http.Response, error) {
+	path := r.URL.Path
+	if s.before != nil {
+		s.before(path)
+	}
+	s.calls = append(s.calls, path)
+	code, body := http.StatusOK, ""
+	name, isValue := strings.CutPrefix(path, pathValue)
+	switch {
+	case s.status != 0:
+		code = s.status
+	case path == pathHosts || path == pathHostsWatch:
+		body = fmt.Sprintf(`{"revision":%d,"hosts":[]}`, s.revision)
+	case isValue && s.files[name] == "":
+		code = http.StatusNotFound
+	case isValue:
+		body = s.files[name]
+		if s.mangle != nil {
+			body = s.mangle(body)
+		}
+	default:
+		body = s.listing()
+	}
+	header := http.Header{RevisionHeader: {fmt.Sprint(s.revision)}}
+	return &http.Response{StatusCode: code, Status: fmt.Sprint(code), Header: header, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+func (s *fakeService) listing() string {
+	l := listing{Revision: s.revision}
+	for name, data := range s.files {
+		hash := config.HashOf([]byte(data))
+		l.Entries = append(l.Entries, listingEntry{Name: name, Revision: s.revision, SHA256: hex.EncodeToString(hash[:])})
+	}
+	raw, _ := json.Marshal(l)
+	return string(raw)
+}
+
+var _ = Describe("Client", func() {
+	var service *fakeService
+	var client *Client
+	BeforeEach(func() {
+		service = &fakeService{revision: 7, files: map[string]string{"20-b.json": "b", "10-a.json": "a"}}
+		client = NewClient(Config{BaseURL: "http://platform"}, service)
+	})
+
+	It("reads all files at one revision and held ones not again", func(ctx SpecContext) {
+		folder, err := client.ReadConfig(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*folder).To(Equal(Folder{Revision: 7, Files: []config.File{
+			{Name: "10-a.json", Data: []byte("a")}, {Name: "20-b.json", Data: []byte("b")}}}))
+		service.calls, service.files["20-b.json"] = nil, "c"
+		changed, err := client.WatchConfig(ctx, 7, time.Second, folder.Files)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed.Files[1].Data).To(Equal([]byte("c")))
+		Expect(service.calls).To(Equal([]string{pathWatch, pathValue + "20-b.json", pathList}))
+	})
+
+	It("reads again when the folder changes under a read", func(ctx SpecContext) {
+		service.before = func(path string) {
+			if path == pathValue+"20-b.json" && service.revision == 7 {
+				service.revision, service.files["10-a.json"] = 8, "a2"
+				delete(service.files, "20-b.json")
+			}
+		}
+		folder, err := client.ReadConfig(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*folder).To(Equal(Folder{Revision: 8, Files: []config.File{{Name: "10-a.json", Data: []byte("a2")}}}))
+	})
+
+	DescribeTable("says why a read failed",
+		func(ctx SpecContext, spoil func(), want error) {
+			spoil()
+			_, err := client.ReadConfig(ctx, nil)
+			Expect(errors.Is(err, want)).To(BeTrue(), "%v", err)
+		},
+		Entry("over the limit", func() { service.status = http.StatusTooManyRequests }, ErrOverLimit),
+		Entry("outage", func() { service.status = http.StatusServiceUnavailable }, ErrOutage),
+		Entry("not what was asked", func() { service.status = http.StatusTeapot }, ErrMalformed),
+		Entry("changing all the time", func() { service.before = func(string) { service.revision++ } }, ErrInconsistent),
+		Entry("bytes unlike their hash", func() { service.mangle = func(s string) string { return s + "!" } }, ErrInconsistent),
+		Entry("a value too large", func() {
+			service.files["10-a.json"] = strings.Repeat("x", maxValueBytes+1)
+		}, ErrTooLarge),
+		Entry("budget spent", func() {
+			client = NewClient(Config{BaseURL: "http://platform", ReadsPerSecond: 0.001, ReadBurst: 2}, service)
+		}, ErrOverBudget),
+	)
+
+	It("ends a watch without a change", func(ctx SpecContext) {
+		service.status = http.StatusNotModified
+		folder, err := client.WatchConfig(ctx, 7, time.Second, nil)
+		Expect([]any{folder, err}).To(Equal([]any{(*Folder)(nil), nil}))
+		folder, err = client.WatchHosts(ctx, 7, time.Second)
+		Expect([]any{folder, err}).To(Equal([]any{(*Folder)(nil), nil}))
+	})
+
+	It("reads the host list with its bytes unchanged", func(ctx SpecContext) {
+		folder, err := client.ReadHosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*folder).To(Equal(Folder{Revision: 7, Files: []config.File{{Name: HostListFile, Data: []byte(`{"revision":7,"hosts":[]}`)}}}))
+	})
+})
+
+// TestBackoffKeepsToItsBounds draws waits: none is under the base, over the
+// cap or over three times the last one.
+func TestBackoffKeepsToItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := time.Duration(rapid.IntRange(1, 1000).Draw(t, "base"))
+		b := Backoff{Base: base, Cap: base * time.Duration(rapid.IntRange(1, 50).Draw(t, "cap"))}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		last := base
+		for range 50 {
+			wait := b.Next(random)
+			if wait < base || wait > b.Cap || wait > 3*last {
+				t.Fatalf("%v after %v, base %v, cap %v", wait, last, base, b.Cap)
+			}
+			last = wait
+		}
+	})
+}
