Test a read that its folder changes under, at each of its calls

Change: the folder changes before each call of a read in turn, also before the second listing alone. Seen to fail on the planted fault: listings not compared.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -105,17 +105,20 @@
 		Expect(service.calls).To(Equal([]string{pathWatch, pathValue + "20-b.json", pathList}))
 	})
 
-	It("reads again when the folder changes under a read", func(ctx SpecContext) {
-		service.before = func(path string) {
-			if path == pathValue+"20-b.json" && service.revision == 7 {
-				service.revision, service.files["10-a.json"] = 8, "a2"
-				delete(service.files, "20-b.json")
+	DescribeTable("reads the newer folder when it changes before any call of a read",
+		func(ctx SpecContext, call int) {
+			service.before = func(string) {
+				if len(service.calls) == call {
+					service.revision, service.files = 8, map[string]string{"10-a.json": "a2", "15-c.json": "c"}
+				}
 			}
-		}
-		folder, err := client.ReadConfig(ctx, nil)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(*folder).To(Equal(Folder{Revision: 8, Files: []config.File{{Name: "10-a.json", Data: []byte("a2")}}}))
-	})
+			folder, err := client.ReadConfig(ctx, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(*folder).To(Equal(Folder{Revision: 8, Files: []config.File{
+				{Name: "10-a.json", Data: []byte("a2")}, {Name: "15-c.json", Data: []byte("c")}}}))
+		},
+		Entry("the listing", 0), Entry("the first value", 1), Entry("the second value", 2), Entry("the second listing", 3),
+	)
 
 	DescribeTable("says why a read failed",
 		func(ctx SpecContext, spoil func(), want error) {
