Carry the host list across a restore of the platform

Cause: after a restore from backup the host list's revision goes back, so nodes would have kept the old list until the platform counted past it. Random schedules with restores of both documents found more: a watch compares revisions, and a source that was restored and written to between two watches may stand at the same revision again, so its readers never noticed. Change: a list takes the epoch of the configuration that the same source gave; the revision that nodes compare is the epoch above the platform's revision, and just the latter in epoch 0. A reader's first read, the one after a failure and one each 15 s compare contents. Acceptor.Accept takes a version in place of a revision. The test's check of the read budget took every plain read for that of a standby; it now tells them apart by the machine's counter, so that it still holds each to its own limit. Seen to fail on planted faults: contents never compared again, list without a date, list revision without its epoch. Reading the list at once after its date changed is not seen by a test: the read each 15 s hides it.

--- a/internal/spread/acceptor.go
+++ b/internal/spread/acceptor.go
@@ -22,36 +22,47 @@
 }
 
 // Acceptor checks the files of a document whole. It is pure: the same bytes
-// give the same verdict in every process of the same release.
+// give the same verdict in every process of the same release. The epoch of a
+// configuration stands in its files; a host list takes the one it is given.
 type Acceptor interface {
-	Accept(kind wire.DocumentKind, revision uint64, files []config.File) (Accepted, error)
+	Accept(kind wire.DocumentKind, version config.Version, files []config.File) (Accepted, error)
 }
 
 // BuildAcceptor accepts what config.Build and DecodeHostList accept.
 type BuildAcceptor struct{}
 
 // Accept builds the document. A refusal is an error that lists all problems.
-func (BuildAcceptor) Accept(kind wire.DocumentKind, revision uint64, files []config.File) (Accepted, error) {
+func (BuildAcceptor) Accept(kind wire.DocumentKind, version config.Version, files []config.File) (Accepted, error) {
 	switch kind {
 	case KindConfig:
-		snapshot, report := config.Build(revision, files)
+		snapshot, report := config.Build(version.Revision, files)
 		if !report.OK() {
 			return Accepted{}, eris.Wrap(config.ErrRejected, report.Error())
 		}
 		return Accepted{Version: snapshot.Version, Snapshot: snapshot}, nil
 	case KindHostList:
-		list, err := DecodeHostList(revision, files)
+		list, err := DecodeHostList(version, files)
 		if err != nil {
 			return Accepted{}, err
 		}
-		return Accepted{Version: config.Version{Revision: list.Revision}, List: list}, nil
+		return Accepted{Version: version, List: list}, nil
 	default:
 		return Accepted{}, eris.Wrapf(ErrUnknownKind, "%d", kind)
 	}
 }
 
+// epochShift makes room for the platform's revision below the epoch in the
+// revision of a host list.
+const epochShift = 40
+
+// listRevision orders host lists as their versions do: a list of a later epoch
+// is newer whatever the platform's revision. In epoch 0 it is that revision.
+func listRevision(v config.Version) uint64 {
+	return v.Epoch<<epochShift | v.Revision
+}
+
 // DecodeHostList decodes and checks the host list's single file.
-func DecodeHostList(revision uint64, files []config.File) (*host.List, error) {
+func DecodeHostList(version config.Version, files []config.File) (*host.List, error) {
 	if len(files) != 1 || files[0].Name != platform.HostListFile {
 		return nil, eris.Wrapf(ErrBadHostList, "want one file %s", platform.HostListFile)
 	}
@@ -64,9 +75,10 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, eris.Wrap(ErrBadHostList, "bytes after the list")
 	}
-	if list.Revision != revision {
-		return nil, eris.Wrapf(ErrBadHostList, "revision %d, want %d", list.Revision, revision)
+	if list.Revision != version.Revision || version.Revision>>epochShift != 0 || version.Epoch>>(64-epochShift) != 0 {
+		return nil, eris.Wrapf(ErrBadHostList, "revision %d of version %s", list.Revision, version)
 	}
+	list.Revision = listRevision(version)
 	list.Sort()
 	return list, checkListings(list)
 }
--- a/internal/spread/document.go
+++ b/internal/spread/document.go
@@ -23,8 +23,8 @@
 // Rejection is a version that this node refused.
 type Rejection struct {
 	Kind wire.DocumentKind
-	// Version is the announced version. The epoch of a version that came from
-	// the source is 0, since a refused document states none.
+	// Version is the announced version. A refused document states no epoch, so
+	// a version that came from the source has the epoch of the one before.
 	Version config.Version
 	Hash    config.Hash
 	// FromSource reports that the source gave the version, not a peer.
--- a/internal/spread/property_test.go
+++ b/internal/spread/property_test.go
@@ -27,10 +27,9 @@
 // schedule does random things to a world.
 type schedule struct {
 	*world
-	t         *rapid.T
-	epoch     uint64
-	revisions [len(kinds)]uint64 // newest that the source ever gave
-	history   [][len(kinds)]platform.Folder
+	t       *rapid.T
+	epoch   uint64
+	history [][len(kinds)]platform.Folder
 }
 
 func (s *schedule) step() {
@@ -43,8 +42,7 @@
 	case "bad":
 		s.publish(testDocument{Epoch: s.epoch, Bad: true})
 	case "hosts":
-		s.revisions[1]++
-		s.publishHosts(s.revisions[1])
+		s.publishHosts(s.source.folders[1].Revision + 1)
 	case "outage":
 		s.source.out = !s.source.out
 	case "stale":
@@ -79,8 +77,7 @@
 func (s *schedule) flip() bool { return rapid.Bool().Draw(s.t, "yes") }
 
 func (s *schedule) publish(d testDocument) {
-	s.revisions[0]++
-	s.publishConfig(s.revisions[0], d)
+	s.publishConfig(s.source.folders[0].Revision+1, d)
 	s.history = append(s.history, s.source.folders)
 }
 
@@ -125,7 +122,7 @@
 func TestVersionsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(5, 9).Draw(t, "nodes"), rapid.IntRange(1, 3).Draw(t, "centres"))
-		s := &schedule{world: w, t: t, revisions: [len(kinds)]uint64{10, 10}}
+		s := &schedule{world: w, t: t}
 		s.history = append(s.history, w.source.folders)
 		s.startAll()
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
@@ -137,14 +134,13 @@
 		if s.flip() && s.heldByAny() {
 			// No new version: what any node holds reaches the others, also
 			// while the source is out.
-			s.source.newest = s.newestHeld()
-			s.settle(settleLimit)
+			s.settleAt(settleLimit, s.newestHeld)
 		}
 		s.source.out = false
 		s.epoch++ // as operators do after a restore
+		s.source.newest = [len(kinds)]config.Version{}
 		s.publish(testDocument{Epoch: s.epoch})
-		s.revisions[1]++
-		s.publishHosts(s.revisions[1])
+		s.publishHosts(s.source.folders[1].Revision + 1)
 		s.settle(settleLimit)
 		for _, n := range s.nodes {
 			if c := n.life.m.Current(KindConfig); c.Hash != config.ManifestOf(s.source.folders[0].Files).Hash() {
@@ -164,19 +160,21 @@
 				newest[i] = n.life.applied[i]
 			}
 		}
-		f := w.source.folders[i]
-		got, err := testAcceptor{}.Accept(kinds[i], f.Revision, f.Files)
-		if err == nil && !w.source.out && newest[i].Less(got.Version) {
-			newest[i] = got.Version
+		if v, ok := w.source.version(i); ok && !w.source.out && newest[i].Less(v) {
+			newest[i] = v
 		}
 	}
 	return newest
 }
 
 // heldByAny reports whether the newest version that a floor asks for is still
-// held somewhere; else only a new epoch helps.
+// held somewhere; else only a new epoch helps. A bad configuration at the source
+// leaves the date of its host list open.
 func (w *world) heldByAny() bool {
 	held := w.newestHeld()
+	if _, ok := w.source.version(0); !ok && !w.source.out {
+		return false
+	}
 	for _, n := range w.nodes {
 		for i, d := range n.life.m.documents {
 			if held[i].Less(d.floor) || held[i].IsZero() {
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -184,7 +184,7 @@
 	p := d.pull
 	d.pull = nil
 	files := p.files()
-	accepted, err := m.acceptor.Accept(d.kind, p.version.Revision, files)
+	accepted, err := m.acceptor.Accept(d.kind, p.version, files)
 	if err == nil && accepted.Version != p.version {
 		err = ErrVersionMismatch
 	}
--- a/internal/spread/source.go
+++ b/internal/spread/source.go
@@ -15,6 +15,10 @@
 	// readerPause is the shortest time between two reads of a watching host, so
 	// that a source that changes all the time is read in batches.
 	readerPause = 250 * time.Millisecond
+	// rereadEvery is the time between two reads of a watching host that compare
+	// contents. A watch compares revisions, and a source that was restored and
+	// written to may have reached the same revision again.
+	rereadEvery = 15 * time.Second
 	backoffBase = 500 * time.Millisecond
 	backoffCap  = 10 * time.Second
 	// cycleTimeout frees a read whose outcome never came.
@@ -46,6 +50,7 @@
 	seen    uint64    // revision that the source gave last
 	known   bool      // seen is set
 	stale   bool      // what the source gave last is older than the floor
+	reread  time.Time // when the next read compares contents, not revisions
 	backoff platform.Backoff
 }
 
@@ -56,7 +61,11 @@
 	contacted bool
 	started   time.Time
 	bootRead  time.Time // first read of a node that no peer could help
-	cycle     bool      // the read under way is a standby's: both documents in turn
+	// epoch is that of the configuration that the source gave this node last.
+	// It dates the host list, which states none.
+	epoch     uint64
+	dated     bool // epoch is set
+	cycle     bool // the read under way is a standby's: both documents in turn
 	nextCycle time.Time
 	stepWait  time.Duration // jitter of the next step-up
 	listed    []host.Listing
@@ -130,10 +139,10 @@
 	return true
 }
 
-// watch starts a watch of one document.
+// watch starts a watch of one document. The host list waits for its date.
 func (m *Machine) watch(now time.Time, i int) {
 	r := &m.source.reads[i]
-	if r.active || now.Before(r.next) {
+	if r.active || now.Before(r.next) || (m.documents[i].kind == KindHostList && !m.source.dated) {
 		return
 	}
 	r.next = now.Add(readerPause)
@@ -157,13 +166,10 @@
 	d := m.documents[i]
 	r.active = true
 	r.started = now
-	if !r.known && d.current != nil {
-		// What the peers gave is as good as an own read.
-		r.seen, r.known = d.current.Version.Revision, true
-	}
 	m.counters.Reads++
-	if !r.known {
-		wait = 0 // nothing to compare with: read at once
+	if !r.known || !now.Before(r.reread) {
+		wait = 0
+		r.reread = now.Add(rereadEvery)
 	}
 	m.emit(ReadSource{Kind: d.kind, Wait: wait, After: r.seen, Held: d.current.files()})
 }
@@ -207,6 +213,7 @@
 	}
 	r := &m.source.reads[i]
 	r.active = false
+	r.reread = time.Time{} // an outage may end in a restore
 	r.next = now.Add(r.backoff.Next(m.random))
 	m.source.cycle = false
 	m.counters.SourceFailures++
@@ -239,13 +246,16 @@
 	if d.refusedFromSource(revision, hash) {
 		return true
 	}
-	accepted, err := m.acceptor.Accept(d.kind, revision, files)
+	given := config.Version{Epoch: m.source.epoch, Revision: revision}
+	accepted, err := m.acceptor.Accept(d.kind, given, files)
 	if err != nil {
-		m.reject(now, d, Rejection{
-			Version: config.Version{Revision: revision}, Hash: hash, FromSource: true, Reason: err.Error(),
-		})
+		m.reject(now, d, Rejection{Version: given, Hash: hash, FromSource: true, Reason: err.Error()})
+		m.assumeEpoch(d)
 		return true
 	}
+	if d.kind == KindConfig {
+		m.setSourceEpoch(accepted.Version.Epoch)
+	}
 	if accepted.Version.Less(d.floor) {
 		m.counters.StaleReads++
 		return false
@@ -257,6 +267,24 @@
 	return true
 }
 
+// setSourceEpoch takes the epoch that dates the host lists of the source. After
+// a change the list is read again, since its date has changed with it.
+func (m *Machine) setSourceEpoch(epoch uint64) {
+	if m.source.dated && m.source.epoch == epoch {
+		return
+	}
+	m.source.epoch, m.source.dated = epoch, true
+	m.source.reads[1].reread = time.Time{}
+}
+
+// assumeEpoch takes the epoch in force as the source's one, when the source
+// gives no configuration that states another.
+func (m *Machine) assumeEpoch(d *document) {
+	if d.kind == KindConfig && !m.source.dated && d.current != nil {
+		m.setSourceEpoch(d.current.Version.Epoch)
+	}
+}
+
 func (m *Machine) countConflict(d *document, version config.Version, hash config.Hash) {
 	if d.current != nil && d.current.Version == version && d.current.Hash != hash {
 		m.counters.Conflicts++
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -106,6 +106,19 @@
 		w.settle(10 * time.Second)
 	})
 
+	It("follows the host list of a restored source once the epoch rises", func() {
+		w := settled(12, 2)
+		w.publishHosts(20)
+		w.settle(10 * time.Second)
+		w.publishHosts(11)
+		w.run(10 * time.Second)
+		Expect(w.behind()).To(BeEmpty())
+		w.publishConfig(11, testDocument{Epoch: 1})
+		w.source.publish(1, w.source.folders[1])
+		w.settle(10 * time.Second)
+		Expect(w.source.newest[1]).To(Equal(config.Version{Epoch: 1, Revision: 11}))
+	})
+
 	It("starts with its peers' version when the source is stale at boot", func() {
 		w := settled(12, 2)
 		stale := w.source.folders
@@ -260,9 +273,17 @@
 		Expect(status.Rejected[0].Reason).To(Equal("bad document"))
 	})
 
+	It("orders host lists across epochs by their revision alone", func() {
+		files := []config.File{{Name: "hosts.json", Data: []byte(`{"revision":7,"hosts":[]}`)}}
+		before, _ := DecodeHostList(config.Version{Revision: 7}, files)
+		after, _ := DecodeHostList(config.Version{Epoch: 1, Revision: 7}, files)
+		Expect(before.Revision).To(Equal(uint64(7)))
+		Expect(after.Revision).To(BeNumerically(">", uint64(1<<epochShift)))
+	})
+
 	DescribeTable("refuses a malformed host list",
 		func(data string) {
-			_, err := DecodeHostList(7, []config.File{{Name: "hosts.json", Data: []byte(data)}})
+			_, err := DecodeHostList(config.Version{Revision: 7}, []config.File{{Name: "hosts.json", Data: []byte(data)}})
 			Expect(errors.Is(err, ErrBadHostList)).To(BeTrue())
 		},
 		Entry("unknown field", `{"revision":7,"hosts":[],"more":1}`),
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -32,9 +32,9 @@
 // testAcceptor checks the files of testDocument; host lists are checked as ever.
 type testAcceptor struct{}
 
-func (testAcceptor) Accept(kind wire.DocumentKind, revision uint64, files []config.File) (Accepted, error) {
+func (testAcceptor) Accept(kind wire.DocumentKind, given config.Version, files []config.File) (Accepted, error) {
 	if kind == KindHostList {
-		return BuildAcceptor{}.Accept(kind, revision, files)
+		return BuildAcceptor{}.Accept(kind, given, files)
 	}
 	document := testDocument{}
 	for _, f := range files {
@@ -45,7 +45,7 @@
 	if document.Bad {
 		return Accepted{}, errors.New("bad document")
 	}
-	version := config.Version{Epoch: document.Epoch, Revision: revision}
+	version := config.Version{Epoch: document.Epoch, Revision: given.Revision}
 	return Accepted{Version: version, Snapshot: &config.Snapshot{Version: version}}, nil
 }
 
@@ -61,16 +61,35 @@
 
 func (s *fakeSource) publish(i int, f platform.Folder) {
 	s.folders[i] = f
-	got, err := testAcceptor{}.Accept(kinds[i], f.Revision, f.Files)
-	if err != nil {
+	v, ok := s.version(i)
+	if !ok {
 		return
 	}
-	s.accepted[fmt.Sprint(i, got.Version, config.ManifestOf(f.Files).Hash())] = true
-	if s.newest[i].Less(got.Version) {
-		s.newest[i] = got.Version
+	s.accepted[keyOf(i, v, f.Files)] = true
+	if s.newest[i].Less(v) {
+		s.newest[i] = v
 	}
 }
 
+// version is that of a document as the source holds it; false when it is bad.
+func (s *fakeSource) version(i int) (config.Version, bool) {
+	given := config.Version{Revision: s.folders[i].Revision}
+	if i > 0 {
+		dated, _ := s.version(0)
+		given.Epoch = dated.Epoch
+	}
+	got, err := testAcceptor{}.Accept(kinds[i], given, s.folders[i].Files)
+	return got.Version, err == nil
+}
+
+// keyOf names the bytes of a version. The epoch of a host list is not in them.
+func keyOf(i int, v config.Version, files []config.File) string {
+	if i > 0 {
+		v.Epoch = 0
+	}
+	return fmt.Sprint(i, v, config.ManifestOf(files).Hash())
+}
+
 func (s *fakeSource) folder(i int) platform.Folder {
 	if s.stale != nil {
 		return s.stale[i]
@@ -156,8 +175,8 @@
 			},
 		}})
 	}
-	w.publishHosts(10)
 	w.publishConfig(10, testDocument{})
+	w.publishHosts(10)
 	return w
 }
 
@@ -326,10 +345,11 @@
 func (w *world) readSource(n *testNode, p *process, e ReadSource) {
 	w.reads++
 	i, _ := kindIndex(e.Kind)
-	if e.Wait > 0 {
-		p.watches = append(p.watches, w.now)
-	} else if i == 0 {
+	switch started := int(p.m.counters.Cycles); {
+	case started > len(p.cycles):
 		p.cycles = append(p.cycles, w.now)
+	case !p.m.source.cycle:
+		p.watches = append(p.watches, w.now)
 	}
 	w.checkReads(n, p)
 	deadline := w.now.Add(e.Wait)
@@ -370,7 +390,7 @@
 	if p.applied[i].IsZero() && v.Less(p.heard[i]) {
 		w.t.Fatalf("%s started with %v, a peer answered %v", n.listing.ID, v, p.heard[i])
 	}
-	if !w.source.accepted[fmt.Sprint(i, v, config.ManifestOf(e.Bundle.Files).Hash())] {
+	if !w.source.accepted[keyOf(i, v, e.Bundle.Files)] {
 		w.t.Fatalf("%s applied bytes of %v that were never accepted", n.listing.ID, v)
 	}
 	p.applied[i] = v
@@ -400,8 +420,13 @@
 
 // settle runs until no live node is behind and returns how long that took.
 func (w *world) settle(limit time.Duration) time.Duration {
+	return w.settleAt(limit, func() [len(kinds)]config.Version { return w.source.newest })
+}
+
+// settleAt is settle for other versions than the newest published ones.
+func (w *world) settleAt(limit time.Duration, newest func() [len(kinds)]config.Version) time.Duration {
 	start := w.now
-	for len(w.behind()) > 0 {
+	for w.source.newest = newest(); len(w.behind()) > 0; w.source.newest = newest() {
 		if w.now.Sub(start) >= limit {
 			w.t.Fatalf("after %v these are behind: %v", limit, w.behind())
 		}
