Admit callers fairly and take bodies in within bounds

A partner that sends again at once must cost itself and not the others, and a slow upload must not hold a backend server's slot.

Refusals are immediate, NotRun, with a Retry-After that doubles for a caller that ignores it. Bodies buffers uploads within a shared budget before a server is asked, streams what is larger, and cuts off callers that trickle.

--- /dev/null
+++ b/internal/intake/body_test.go
@@ -0,0 +1,146 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/verdict"
+)
+
+// link is a caller's connection that sends step bytes every pause.
+type link struct {
+	data     []byte
+	step     int
+	pause    time.Duration
+	broken   bool // ends as a connection that the caller closed
+	deadline time.Time
+}
+
+func (l *link) SetReadDeadline(t time.Time) error {
+	l.deadline = t
+	return nil
+}
+
+func (l *link) Read(p []byte) (int, error) {
+	if len(l.data) == 0 {
+		if l.broken {
+			return 0, io.ErrUnexpectedEOF
+		}
+		return 0, io.EOF
+	}
+	if time.Now().Add(l.pause).After(l.deadline) {
+		time.Sleep(time.Until(l.deadline))
+		return 0, os.ErrDeadlineExceeded
+	}
+	time.Sleep(l.pause)
+	n := copy(p, l.data[:min(l.step, len(l.data))])
+	l.data = l.data[n:]
+	return n, nil
+}
+
+// TestBodyArrivesWholeOrFails draws sizes, steps and budgets. A body that is
+// read to its end is the caller's own, byte for byte; a broken one never ends
+// well; the budget holds and is given back.
+func TestBodyArrivesWholeOrFails(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := bytes.Repeat([]byte("0123456789abc"), rapid.IntRange(0, 20000).Draw(t, "thirteens"))
+		cfg := BodyConfig{
+			Budget: int64(rapid.IntRange(1, 200_000).Draw(t, "budget")), MaxBuffered: int64(rapid.IntRange(1, 150_000).Draw(t, "buffered")),
+			SmallBody: 1000, MaxBody: 200_000,
+		}
+		length := rapid.SampledFrom([]int64{-1, int64(len(data))}).Draw(t, "length")
+		l := &link{data: data, step: rapid.IntRange(1000, 70_000).Draw(t, "step"), broken: rapid.Bool().Draw(t, "broken")}
+		bodies := NewBodies(cfg)
+		body, err := bodies.Take(l, length)
+		if err != nil {
+			if verdict.Of(err).Verdict != verdict.NotRun {
+				t.Fatalf("nothing was sent, but %v", err)
+			}
+		} else {
+			checkBody(t, body, bodies, data, l.broken && length != 0)
+			body.Close()
+		}
+		if bodies.Buffered() != 0 {
+			t.Fatalf("%d bytes not given back", bodies.Buffered())
+		}
+	})
+}
+
+func checkBody(t *rapid.T, body *Body, bodies *Bodies, data []byte, broken bool) {
+	if bodies.Buffered() > bodies.config.Budget || body.Size() > bodies.config.MaxBuffered+1 && body.Size() > bodies.config.SmallBody+1 {
+		t.Fatalf("%d bytes buffered", bodies.Buffered())
+	}
+	for range 2 {
+		got, err := io.ReadAll(body.Reader())
+		tooLarge := int64(len(data)) > bodies.config.MaxBody
+		switch {
+		case err == nil && (broken || tooLarge || !bytes.Equal(got, data)):
+			t.Fatalf("%d of %d bytes ended well", len(got), len(data))
+		case err != nil && !broken && !tooLarge:
+			t.Fatalf("failed: %v", err)
+		case err != nil && verdict.Of(err).Verdict != verdict.MayHaveRun:
+			t.Fatalf("a server may have seen it, but %v", err)
+		}
+		if !body.Replayable() {
+			return
+		}
+	}
+}
+
+// TestSlowCallerIsCutOff holds back a body before and after a server waits.
+func TestSlowCallerIsCutOff(t *testing.T) {
+	cfg := BodyConfig{MaxBuffered: 20, SmallBody: 10, Idle: 10 * time.Second, StreamIdle: 2 * time.Second, Total: time.Minute}
+	for name, c := range map[string]struct {
+		size  int
+		pause time.Duration
+		took  time.Duration
+		want  verdict.Verdict
+	}{
+		"stalls before a server waits":     {20, 11 * time.Second, 10 * time.Second, verdict.NotRun},
+		"trickles past the whole time":     {20, 5 * time.Second, time.Minute, verdict.NotRun},
+		"trickles while a server waits":    {30, 3 * time.Second, 35 * time.Second, verdict.MayHaveRun},
+		"streams past the whole time":      {99, time.Second, time.Minute, verdict.MayHaveRun},
+		"comes in time and is taken whole": {20, 2 * time.Second, 40 * time.Second, verdict.Ran},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				begin := time.Now()
+				l := &link{data: make([]byte, c.size), step: 1, pause: c.pause}
+				body, err := NewBodies(cfg).Take(l, int64(c.size))
+				if err == nil {
+					_, err = io.ReadAll(body.Reader())
+				}
+				g.Expect(time.Since(begin)).To(Equal(c.took))
+				if c.want == verdict.Ran {
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(l.deadline.IsZero()).To(BeTrue())
+					return
+				}
+				g.Expect(verdict.Of(err).Verdict).To(Equal(c.want))
+			})
+		})
+	}
+}
+
+func TestLargeUploadsLeaveRoomForSmallBodies(t *testing.T) {
+	g := NewWithT(t)
+	bodies := NewBodies(BodyConfig{Budget: 400_000, SmallBody: 1000})
+	take := func(size int) *Body {
+		body, err := bodies.Take(&link{data: make([]byte, size), step: size}, int64(size))
+		g.Expect(err).NotTo(HaveOccurred())
+		return body
+	}
+	for range 5 {
+		take(200_000)
+	}
+	g.Expect(take(200_000).Replayable()).To(BeFalse())
+	g.Expect(take(900).Replayable()).To(BeTrue())
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,24 @@
+package intake
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+func TestIntake(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "intake")
+}
--- /dev/null
+++ b/internal/intake/storm_test.go
@@ -0,0 +1,228 @@
+package intake
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/config"
+	"boragefall/internal/verdict"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// event is a thing that happens at a time of the simulated entry.
+type event struct {
+	at time.Time
+	do func()
+}
+
+// agenda is a heap of events by time.
+type agenda []event
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	old := *a
+	e := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return e
+}
+
+// entry is an admitter in virtual time with callers that send at random.
+type entry struct {
+	admitter       *Admitter
+	random         *rand.Rand
+	service        time.Duration
+	now            time.Time
+	agenda         agenda
+	sent, admitted map[string]int
+}
+
+func (e *entry) after(d time.Duration, do func()) {
+	heap.Push(&e.agenda, event{e.now.Add(d), do})
+}
+
+func (e *entry) about(mean time.Duration) time.Duration {
+	return time.Duration(e.random.ExpFloat64() * float64(mean))
+}
+
+// send is one request; a storming caller sends a refused one again after its
+// round trip, for ever.
+func (e *entry) send(caller string, again time.Duration) {
+	e.sent[caller]++
+	ticket, err := e.admitter.Admit(caller, e.now)
+	if err == nil {
+		e.admitted[caller]++
+		e.after(e.about(e.service), ticket.Done)
+	} else if again > 0 {
+		e.after(again, func() { e.send(caller, again) })
+	}
+}
+
+func (e *entry) arrive(caller func() string, gap, again time.Duration) {
+	e.after(e.about(gap), func() {
+		e.send(caller(), again)
+		e.arrive(caller, gap, again)
+	})
+}
+
+func (e *entry) run(d time.Duration) {
+	end := e.now.Add(d)
+	for len(e.agenda) > 0 {
+		next := heap.Pop(&e.agenda).(event)
+		if next.at.After(end) {
+			return
+		}
+		e.now = next.at
+		next.do()
+	}
+}
+
+// TestStormOfOneCallerLeavesTheOthersTheirRequests lets one caller, listed,
+// unlisted or under ever new names, send ten times what the others do and send
+// each refused request again at once.
+func TestStormOfOneCallerLeavesTheOthersTheirRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		others := rapid.IntRange(2, 8).Draw(t, "others")
+		slots := 30 * (others + 1)
+		e := &entry{
+			random:  rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)),
+			service: time.Duration(rapid.IntRange(5, 100).Draw(t, "service")) * time.Millisecond,
+			now:     start, sent: map[string]int{}, admitted: map[string]int{},
+		}
+		capacity := slots * int(time.Second/e.service)
+		e.admitter = NewAdmitter(Config{Slots: slots, Rate: capacity * rapid.IntRange(1, 3).Draw(t, "rate")})
+		listed := map[string]config.Caller{}
+		gap := e.service / 12 // two fifths of a share
+		for i := range others {
+			name := fmt.Sprint("other", i)
+			listed[name] = config.Caller{Weight: 1}
+			e.arrive(func() string { return name }, gap, 0)
+		}
+		storm := func() string { return "storm" }
+		switch rapid.IntRange(0, 2).Draw(t, "storm") {
+		case 0:
+			listed["storm"] = config.Caller{Weight: 1}
+		case 1:
+			storm = func() string { return fmt.Sprint("storm", e.random.Uint64()) }
+		}
+		e.admitter.SetCallers(listed)
+		e.arrive(storm, gap/10, max(6*time.Millisecond, e.service/3))
+		e.run(10 * e.service)
+		for i := range others {
+			name := fmt.Sprint("other", i)
+			if e.admitted[name]*100 < e.sent[name]*95 {
+				t.Fatalf("%s: %d of %d admitted", name, e.admitted[name], e.sent[name])
+			}
+		}
+	})
+}
+
+// TestHeavierCallerGetsMoreInAStorm lets two callers storm alike.
+func TestHeavierCallerGetsMoreInAStorm(t *testing.T) {
+	g := NewWithT(t)
+	e := &entry{
+		admitter: NewAdmitter(Config{Slots: 120, Rate: 1 << 20}), random: rand.New(rand.NewPCG(1, 2)),
+		service: 50 * time.Millisecond, now: start, sent: map[string]int{}, admitted: map[string]int{},
+	}
+	e.admitter.SetCallers(map[string]config.Caller{"light": {Weight: 1}, "heavy": {Weight: 3}})
+	for _, name := range []string{"light", "heavy"} {
+		e.arrive(func() string { return name }, 500*time.Microsecond, 20*time.Millisecond)
+	}
+	e.run(time.Second)
+	g.Expect(float64(e.admitted["heavy"]) / float64(e.admitted["light"])).To(BeNumerically("~", 3, 0.3))
+}
+
+// TestSlotsAreNeverExceeded admits and ends at random; the counts stay right.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAdmitter(Config{Slots: 5, MaxUnlisted: 2, FreePercent: 100})
+		a.SetCallers(map[string]config.Caller{"a": {}})
+		var held []Ticket
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(held) > 0 && rapid.Bool().Draw(t, "end") {
+				held[0].Done()
+				held = held[1:]
+				continue
+			}
+			caller := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "caller")
+			if ticket, err := a.Admit(caller, start.Add(time.Duration(i)*time.Second)); err == nil {
+				held = append(held, ticket)
+			} else if verdict.Of(err).Verdict != verdict.NotRun || verdict.Of(err).RetryAfter <= 0 {
+				t.Fatalf("refused with %v", err)
+			}
+			if len(held) > 5 || a.total.Load() != int64(len(held)) {
+				t.Fatalf("%d held, %d counted", len(held), a.total.Load())
+			}
+		}
+	})
+}
+
+func TestManyThreadsStayWithinTheSlots(t *testing.T) {
+	a := NewAdmitter(Config{Slots: 3, MaxUnlisted: 1, Rate: 1 << 30})
+	a.SetCallers(map[string]config.Caller{"a": {}})
+	var held atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for n := range 500 {
+				ticket, err := a.Admit([]string{"a", "b", "c"}[(i+n)%3], start.Add(time.Duration(n)*time.Millisecond))
+				if err != nil {
+					continue
+				}
+				if held.Add(1) > 3 {
+					t.Error("too many at once")
+				}
+				held.Add(-1)
+				ticket.Done()
+			}
+		})
+	}
+	wg.Wait()
+	NewWithT(t).Expect(a.total.Load() + a.unlisted.inFlight.Load()).To(BeZero())
+}
+
+var _ = It("lets Retry-After grow for a caller that ignores it", func() {
+	p := &patience{}
+	refused := func(at time.Duration) time.Duration {
+		return p.refused(start.Add(at), time.Second, 4*time.Second)
+	}
+	Expect(refused(0)).To(Equal(time.Second))
+	Expect(refused(50 * time.Millisecond)).To(Equal(time.Second)) // may have been under way
+	Expect(refused(1100 * time.Millisecond)).To(Equal(time.Second))
+	Expect(refused(1500 * time.Millisecond)).To(Equal(time.Second)) // too early
+	Expect(refused(2200 * time.Millisecond)).To(Equal(2 * time.Second))
+	Expect(refused(3 * time.Second)).To(Equal(2 * time.Second))
+	Expect(refused(4300 * time.Millisecond)).To(Equal(4 * time.Second))
+	Expect(refused(5 * time.Second)).To(Equal(4 * time.Second))
+	Expect(refused(9 * time.Second)).To(Equal(4 * time.Second)) // at most
+	Expect(refused(time.Minute)).To(Equal(time.Second))
+})
+
+func BenchmarkAdmit(b *testing.B) {
+	a := NewAdmitter(Config{Rate: 1 << 30})
+	a.SetCallers(map[string]config.Caller{"crew": {Weight: 1}})
+	for _, caller := range []string{"crew", "unlisted"} {
+		b.Run(caller, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if ticket, err := a.Admit(caller, time.Now()); err == nil {
+						ticket.Done()
+					}
+				}
+			})
+		})
+	}
+}
