--- a/internal/routing/board.go
+++ b/internal/routing/board.go
@@ -36,15 +36,15 @@
 		if slices.Contains(exclude, p.servers[i].Host) {
 			continue
 		}
-		c, ok := p.assess(i, nanos)
-		if !ok || c.class > best {
+		c := &b.candidates[b.n]
+		if !p.assess(i, nanos, c) || c.class > best {
 			continue
 		}
 		if c.class < best {
 			best = c.class
+			b.candidates[0] = *c
 			b.n = 0
 		}
-		b.candidates[b.n] = c
 		b.n++
 	}
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -32,30 +32,31 @@
 	return (c.load+1)*other.capacity > (other.load+1)*c.capacity
 }
 
-// assess returns the candidate of a server, or false when the server may not
-// be chosen now: its gate said that it leaves, or this sender's share of a
-// cold server is used up.
-func (p *Pool) assess(i int, now int64) (candidate, bool) {
+// assess fills in the candidate of a server, in place since copies would cost
+// more than the rest. It returns false when the server may not be chosen now:
+// its gate said that it leaves, or this sender's share of a cold server is used
+// up.
+func (p *Pool) assess(i int, now int64, c *candidate) bool {
 	s := &p.servers[i]
 	if s.Stats.saidLeaving(now) {
-		return candidate{}, false
+		return false
 	}
-	c := candidate{server: s, distance: p.distances[i], class: classOf(s, now)}
 	outstanding := s.Stats.outstanding.Load()
 	report, weight := s.Stats.fresh(now)
-	c.capacity = int64(s.Capacity)
-	c.cold = s.State != host.StateWarm
+	capacity := int64(s.Capacity)
+	cold := s.State != host.StateWarm
 	if weight > 0 {
-		c.capacity = int64(report.limit())
-		c.cold = c.cold || report.state() == host.StateCold
+		capacity = int64(report.limit())
+		cold = cold || report.state() == host.StateCold
 	}
-	c.capacity = max(c.capacity, 1)
+	c.server, c.distance, c.class = s, p.distances[i], classOf(s, now)
+	c.capacity, c.cold, c.limit = max(capacity, 1), cold, 0
 	c.load = outstanding + int64(report.foreign())*weight/1000
-	if c.cold {
-		c.limit = p.coldShare(c.capacity)
-		return c, outstanding < c.limit
+	if !cold {
+		return true
 	}
-	return c, true
+	c.limit = p.coldShare(c.capacity)
+	return outstanding < c.limit
 }
 
 func classOf(s *Server, now int64) class {
--- a/internal/routing/spread_test.go
+++ b/internal/routing/spread_test.go
@@ -121,20 +121,12 @@
 	servers[0].Stats.Observe(Load{Running: 10, Limit: 10, State: host.StateWarm}, start)
 	p := NewPool(here, "me", servers, PoolConfig{})
 	for age, load := range map[time.Duration]int64{0: 10, time.Second: 5, 2 * time.Second: 0} {
-		c, _ := p.assess(int(indexOf(p, servers[0].Host)), start.Add(age).UnixNano())
-		g.Expect(c.load).To(Equal(load))
+		var b board
+		b.fill(p, []host.ID{"dc0-1"}, start.Add(age))
+		g.Expect(b.candidates[0].load).To(Equal(load))
 	}
 }
 
-func indexOf(p *Pool, id host.ID) int {
-	for i := range p.servers {
-		if p.servers[i].Host == id {
-			return i
-		}
-	}
-	return -1
-}
-
 func TestServerThatDropsConnectionsIsTriedByOneRequestAfterTheBackOff(t *testing.T) {
 	g := NewWithT(t)
 	servers := warmServers(1, 0, 1)
