Leave a data centre in trouble after two hosts, not after all

Cause: with four or more near servers and an old view, a request could meet four leaving or dead hosts in a row and used up its three moves; the first requests after a data centre went were refused although others had room. Change: while two hosts of a data centre have said that they leave (10 s) or have failed (2 s), candidates in other data centres come first.

--- a/internal/routing/board.go
+++ b/internal/routing/board.go
@@ -28,11 +28,20 @@
 	g.capacity += capacity
 }
 
-// fill collects the candidates of the best class.
+// troubledHosts is the number of troubled hosts from which on a data centre is
+// avoided. One host alone may restart or break for reasons of its own.
+const troubledHosts = 2
+
+// fill collects the candidates of the best class, without those of data
+// centres in trouble unless there are no others.
 func (b *board) fill(p *Pool, exclude []host.ID, now time.Time) {
+	var trouble troubles
 	best := classSuspect
 	nanos := now.UnixNano()
 	for i := range p.servers {
+		if p.servers[i].Stats.troubled(nanos) {
+			trouble.add(p.dataCentres[i])
+		}
 		if slices.Contains(exclude, p.servers[i].Host) {
 			continue
 		}
@@ -47,6 +56,36 @@
 		}
 		b.n++
 	}
+	if trouble.any {
+		b.avoid(&trouble)
+	}
+}
+
+// troubles counts the troubled hosts of each data centre of a pool.
+type troubles struct {
+	hosts [maxSubsetSize]uint8
+	any   bool // some data centre is to be avoided
+}
+
+func (t *troubles) add(dataCentre uint8) {
+	t.hosts[dataCentre]++
+	t.any = t.any || t.hosts[dataCentre] >= troubledHosts
+}
+
+// avoid drops the candidates of data centres in trouble. When a data centre
+// leaves or dies, a sender whose view is old learns so from two hosts, and its
+// requests need not try all others there.
+func (b *board) avoid(t *troubles) {
+	kept := 0
+	for i := range b.candidates[:b.n] {
+		if t.hosts[b.candidates[i].dataCentre] < troubledHosts {
+			b.candidates[kept], b.candidates[i] = b.candidates[i], b.candidates[kept]
+			kept++
+		}
+	}
+	if kept > 0 {
+		b.n = kept
+	}
 }
 
 // reach returns how far away the choice may go: the nearest distance whose
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -17,13 +17,14 @@
 
 // candidate is a server that may be chosen, with its load at this moment.
 type candidate struct {
-	server   *Server
-	load     int64 // requests of this sender and, by its report, of others
-	capacity int64
-	limit    int64 // of this sender's outstanding requests; 0 is none
-	class    class
-	distance datacentre.Distance
-	cold     bool
+	server     *Server
+	load       int64 // requests of this sender and, by its report, of others
+	capacity   int64
+	limit      int64 // of this sender's outstanding requests; 0 is none
+	class      class
+	distance   datacentre.Distance
+	dataCentre uint8 // its number in the pool
+	cold       bool
 }
 
 // busier reports whether one more request would leave c with a higher
@@ -49,7 +50,8 @@
 		capacity = int64(report.limit())
 		cold = cold || report.state() == host.StateCold
 	}
-	c.server, c.distance, c.class = s, p.distances[i], classOf(s, now)
+	c.server, c.class = s, classOf(s, now)
+	c.distance, c.dataCentre = p.distances[i], p.dataCentres[i]
 	c.capacity, c.cold, c.limit = max(capacity, 1), cold, 0
 	c.load = outstanding + int64(report.foreign())*weight/1000
 	if !cold {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -24,10 +24,11 @@
 // Pool is the servers of one service that this sender uses. It is immutable
 // but for the Stats of its servers.
 type Pool struct {
-	config    PoolConfig
-	listed    []Server // as given, to tell whether a rebuild is needed
-	servers   []Server // the subset, nearest first
-	distances []datacentre.Distance
+	config      PoolConfig
+	listed      []Server // as given, to tell whether a rebuild is needed
+	servers     []Server // the subset, nearest first
+	distances   []datacentre.Distance
+	dataCentres []uint8 // of each server, numbered within the pool
 }
 
 // NewPool returns the pool of a sender. Servers that are leaving or down are
@@ -35,11 +36,17 @@
 func NewPool(self datacentre.Place, selfHost host.ID, servers []Server, cfg PoolConfig) *Pool {
 	p := &Pool{config: cfg.withDefaults(), listed: servers}
 	p.servers = subset(self, selfHost, servers, p.config.SubsetSize)
+	numbers := map[datacentre.Place]uint8{}
 	for i := range p.servers {
 		if p.servers[i].Stats == nil {
 			p.servers[i].Stats = &Stats{}
 		}
-		p.distances = append(p.distances, self.DistanceTo(p.servers[i].Place))
+		place := p.servers[i].Place
+		if _, ok := numbers[place]; !ok {
+			numbers[place] = uint8(len(numbers))
+		}
+		p.distances = append(p.distances, self.DistanceTo(place))
+		p.dataCentres = append(p.dataCentres, numbers[place])
 	}
 	return p
 }
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -18,6 +18,9 @@
 	// leavingHold is how long an answer that says leaving or down keeps a
 	// server out while no record says so.
 	leavingHold = 10 * time.Second
+	// troubleHold is how long a connection failure counts as a sign that the
+	// whole data centre may be in trouble.
+	troubleHold = 2 * time.Second
 	// failuresToBackOff is the number of failures in a row that make a sender
 	// avoid a server.
 	failuresToBackOff = 3
@@ -132,6 +135,11 @@
 	return at != 0 && now-at < int64(leavingHold)
 }
 
+// troubled reports whether the host said that it leaves or failed lately.
+func (s *Stats) troubled(now int64) bool {
+	return s.saidLeaving(now) || s.failures.Load() > 0 && now-s.failedAt.Load() < int64(troubleHold)
+}
+
 // fresh returns the last report and its weight in thousandths, 0 when it is
 // too old.
 func (s *Stats) fresh(now int64) (packedLoad, int64) {
--- /dev/null
+++ b/internal/routing/trouble_test.go
@@ -0,0 +1,53 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"boragefall/internal/host"
+	"boragefall/internal/retry"
+	"boragefall/internal/verdict"
+)
+
+// TestDataCentreGoesWhileTheViewIsOld takes the near data centre away, by mark
+// or by power cut, from a sender whose view still lists it. Every request is
+// answered, none after more than two moves, and nearly all without one.
+func TestDataCentreGoesWhileTheViewIsOld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		near := rapid.IntRange(1, 10).Draw(t, "near")
+		p := NewPool(here, "me", append(warmServers(near, 0), warmServers(3, 1, 2)...), PoolConfig{})
+		gone := rapid.SampledFrom([]verdict.Reason{verdict.ReasonLeaving, verdict.ReasonUnreachable}).Draw(t, "gone")
+		policy := retry.NewPolicy(retry.Config{})
+		source := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)
+		allMoves := 0
+		const requests = 300 // over 3 s
+		for i := range requests {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			plan := policy.Start(retry.Request{Service: "s", Deadline: now.Add(time.Second)})
+			var tried []host.ID
+			for moves := 0; ; moves++ {
+				s, ok := p.Choose(source, tried, now)
+				if !ok {
+					t.Fatalf("request %d found no server", i)
+				}
+				if s.Place != here {
+					s.Stats.Finish(Outcome{At: now})
+					allMoves += moves
+					break
+				}
+				refused := verdict.Refuse(gone, 0)
+				s.Stats.Finish(Outcome{At: now, Err: refused})
+				tried = append(tried, s.Host)
+				if d := plan.Next(retry.Attempt{Err: refused, Now: now}); d.Kind != retry.Move || moves >= 2 {
+					t.Fatalf("request %d ended after %d moves: %s", i, moves, d.Why)
+				}
+			}
+		}
+		if allMoves > requests/20 {
+			t.Fatalf("%d moves", allMoves)
+		}
+	})
+}
