--- a/internal/intake/storm_test.go
+++ b/internal/intake/storm_test.go
@@ -244,14 +244,17 @@
 })
 
 func BenchmarkAdmit(b *testing.B) {
-	a := NewAdmitter(Config{Rate: 1 << 30})
-	a.SetCallers(map[string]config.Caller{"crew": {Weight: 1}})
-	for _, caller := range []string{"crew", "unlisted"} {
-		b.Run(caller, func(b *testing.B) {
+	for name, slots := range map[string]int{"crew": 1024, "unlisted": 1024, "refused": 1} {
+		a := NewAdmitter(Config{Rate: 1 << 30, Slots: slots})
+		a.SetCallers(map[string]config.Caller{"crew": {Weight: 1}, "refused": {Weight: 1}})
+		if slots == 1 {
+			_, _ = a.Admit("crew", time.Now())
+		}
+		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					if ticket, err := a.Admit(caller, time.Now()); err == nil {
+					if ticket, err := a.Admit(name, time.Now()); err == nil {
 						ticket.Done()
 					}
 				}
