Count unshared answers exactly

Change: it now asks that each unshared answer is given or discarded exactly once, which is stricter: before, an answer that was neither passed. Ends of work and of patience may now fall together. A spec covers the waiter that leaves as the answer comes.

--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -61,6 +61,7 @@
 	running   map[int]int // runs in progress by key
 	most      map[int]int // the most at once
 	canceled  []int       // keys whose work saw its context end
+	unshared  []string    // answers for one waiter each
 	discarded []string
 }
 
@@ -77,7 +78,13 @@
 		}()
 		select {
 		case <-time.After(f.plans[key].lasts):
-			return Answer[string]{fmt.Sprintf("%d:%d", key, serial), f.plans[key].shared}, nil
+			value := fmt.Sprintf("%d:%d", key, serial)
+			if !f.plans[key].shared {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.unshared = append(f.unshared, value)
+			}
+			return Answer[string]{value, f.plans[key].shared}, nil
 		case <-ctx.Done():
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -129,10 +136,12 @@
 			given[v.value]++
 		}
 	}
-	for value, n := range given {
-		key := int(value[0] - '0')
-		if !f.plans[key].shared && n+strings.Count(strings.Join(f.discarded, " "), value) > 1 {
-			return fmt.Sprintf("unshared %q went to %d", value, n)
+	for _, value := range f.discarded {
+		given[value]++
+	}
+	for _, value := range f.unshared {
+		if given[value] != 1 {
+			return fmt.Sprintf("unshared %q was given or discarded %d times", value, given[value])
 		}
 	}
 	for key, p := range f.plans {
@@ -145,8 +154,7 @@
 
 func TestEachWaiterGetsOneWholeAnswerOfItsOwnKey(t *testing.T) {
 	ms := func(r *rapid.T, most int, label string) time.Duration {
-		// Odd and even offsets keep ends of work and of patience apart.
-		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * 2 * time.Millisecond
+		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * time.Millisecond
 	}
 	rapid.Check(t, func(r *rapid.T) {
 		f := &fleet{running: map[int]int{}, most: map[int]int{}}
@@ -156,7 +164,7 @@
 		for range rapid.IntRange(1, 12).Draw(r, "visits") {
 			f.visits = append(f.visits, visit{
 				key: rapid.IntRange(0, 2).Draw(r, "key"), arrives: ms(r, 30, "arrives"),
-				patience: ms(r, 40, "patience") + time.Millisecond,
+				patience: ms(r, 40, "patience"),
 			})
 		}
 		synctest.Test(t, func(*testing.T) { f.play() })
@@ -202,6 +210,16 @@
 	Expect(g.flights.Load()).To(BeZero())
 })
 
+var _ = It("discards an unshared answer whose only waiter leaves as it comes", func(ctx SpecContext) {
+	var discarded []string
+	g := NewGroup[int, string](Config[string]{Discard: func(v string) { discarded = append(discarded, v) }})
+	f, _ := newFlight[string](ctx)
+	f.waiters, f.finished, f.answer.Value = 1, true, "a"
+	_, err := g.leave(ctx, &g.shards[0], f, Call[int, string]{})
+	Expect(err).To(HaveOccurred())
+	Expect(discarded).To(Equal([]string{"a"}))
+})
+
 func TestTooManyWaitersAreRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGroup[int, string](Config[string]{MaxWaiters: 1})
