Tell broken hosts from a broken data centre

Cause: two dead hosts of five kept the whole near data centre out: of 1,000 requests 21 went near. Change: failures count no longer once another host there has answered 10 ms after the first of them; one of 24 first attempts goes to an avoided data centre so that an answer can come; a host is backed off from its first failure on (0.25 s, doubling), not from the third. The first test also runs requests before the data centre goes now: without them it missed a fault in the clearing. Faults planted and caught: failures never forgotten; answers of before the failure counted; failed or leaving hosts not counted; trials by requests that moved already; no trials; more than one trial after a back-off.

--- a/internal/routing/board.go
+++ b/internal/routing/board.go
@@ -28,10 +28,6 @@
 	g.capacity += capacity
 }
 
-// troubledHosts is the number of troubled hosts from which on a data centre is
-// avoided. One host alone may restart or break for reasons of its own.
-const troubledHosts = 2
-
 // fill collects the candidates of the best class, without those of data
 // centres in trouble unless there are no others.
 func (b *board) fill(p *Pool, exclude []host.ID, now time.Time) {
@@ -39,9 +35,7 @@
 	best := classSuspect
 	nanos := now.UnixNano()
 	for i := range p.servers {
-		if p.servers[i].Stats.troubled(nanos) {
-			trouble.add(p.dataCentres[i])
-		}
+		trouble.add(p.dataCentres[i], p.servers[i].Stats, nanos)
 		if slices.Contains(exclude, p.servers[i].Host) {
 			continue
 		}
@@ -57,28 +51,21 @@
 		b.n++
 	}
 	if trouble.any {
-		b.avoid(&trouble)
+		if len(exclude) == 0 && p.avoidances.Add(1)%troubleTrials == 0 {
+			trouble.forgetFailures()
+		}
+		b.avoid(p, &trouble, nanos)
 	}
 }
 
-// troubles counts the troubled hosts of each data centre of a pool.
-type troubles struct {
-	hosts [maxSubsetSize]uint8
-	any   bool // some data centre is to be avoided
-}
-
-func (t *troubles) add(dataCentre uint8) {
-	t.hosts[dataCentre]++
-	t.any = t.any || t.hosts[dataCentre] >= troubledHosts
-}
-
 // avoid drops the candidates of data centres in trouble. When a data centre
 // leaves or dies, a sender whose view is old learns so from two hosts, and its
 // requests need not try all others there.
-func (b *board) avoid(t *troubles) {
+func (b *board) avoid(p *Pool, t *troubles, now int64) {
+	t.settle(p, now)
 	kept := 0
 	for i := range b.candidates[:b.n] {
-		if t.hosts[b.candidates[i].dataCentre] < troubledHosts {
+		if !t.avoided(b.candidates[i].dataCentre) {
 			b.candidates[kept], b.candidates[i] = b.candidates[i], b.candidates[kept]
 			kept++
 		}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"boragefall/internal/datacentre"
@@ -22,13 +23,15 @@
 }
 
 // Pool is the servers of one service that this sender uses. It is immutable
-// but for the Stats of its servers.
+// but for the Stats of its servers and the count of first attempts that avoided
+// a data centre.
 type Pool struct {
 	config      PoolConfig
 	listed      []Server // as given, to tell whether a rebuild is needed
 	servers     []Server // the subset, nearest first
 	distances   []datacentre.Distance
 	dataCentres []uint8 // of each server, numbered within the pool
+	avoidances  atomic.Uint32
 }
 
 // NewPool returns the pool of a sender. Servers that are leaving or down are
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -21,11 +21,9 @@
 	// troubleHold is how long a connection failure counts as a sign that the
 	// whole data centre may be in trouble.
 	troubleHold = 2 * time.Second
-	// failuresToBackOff is the number of failures in a row that make a sender
-	// avoid a server.
-	failuresToBackOff = 3
-	// backOffBase and backOffMax bound how long it is avoided.
-	backOffBase = 500 * time.Millisecond
+	// backOffBase is how long a sender avoids a server after a failure; it
+	// doubles with each further one in a row, up to backOffMax.
+	backOffBase = 250 * time.Millisecond
 	backOffMax  = 10 * time.Second
 )
 
@@ -39,6 +37,7 @@
 	latency     atomic.Uint64 // float64 bits, nanoseconds
 	failures    atomic.Int64  // in a row
 	failedAt    atomic.Int64  // Unix nanoseconds
+	answeredAt  atomic.Int64  // Unix nanoseconds
 }
 
 // Outcome is the end of one request to a host.
@@ -75,6 +74,7 @@
 	s.outstanding.Add(-1)
 	if o.Err == nil {
 		s.failures.Store(0)
+		s.answeredAt.Store(o.At.UnixNano())
 		s.addLatency(o.Latency)
 		return
 	}
@@ -135,9 +135,9 @@
 	return at != 0 && now-at < int64(leavingHold)
 }
 
-// troubled reports whether the host said that it leaves or failed lately.
-func (s *Stats) troubled(now int64) bool {
-	return s.saidLeaving(now) || s.failures.Load() > 0 && now-s.failedAt.Load() < int64(troubleHold)
+// failedLately reports whether the last request failed, not long ago.
+func (s *Stats) failedLately(now int64) bool {
+	return s.failures.Load() > 0 && now-s.failedAt.Load() < int64(troubleHold)
 }
 
 // fresh returns the last report and its weight in thousandths, 0 when it is
@@ -159,13 +159,10 @@
 // the back-off a single request tries the host.
 func (s *Stats) backingOff(now int64) bool {
 	failures := s.failures.Load()
-	if failures < failuresToBackOff {
+	if failures == 0 {
 		return false
 	}
-	doublings := min(failures-failuresToBackOff, 10)
+	doublings := min(failures-1, 10)
 	wait := min(backOffBase<<doublings, backOffMax)
-	if now-s.failedAt.Load() < int64(wait) {
-		return true
-	}
-	return s.outstanding.Load() > 0
+	return now-s.failedAt.Load() < int64(wait) || s.outstanding.Load() > 0
 }
--- a/internal/routing/trouble_test.go
+++ b/internal/routing/trouble_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"boragefall/internal/host"
@@ -22,6 +23,11 @@
 		gone := rapid.SampledFrom([]verdict.Reason{verdict.ReasonLeaving, verdict.ReasonUnreachable}).Draw(t, "gone")
 		policy := retry.NewPolicy(retry.Config{})
 		source := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)
+		for i := range 100 { // all is well until just before
+			if s, ok := p.Choose(source, nil, start); ok {
+				s.Stats.Finish(Outcome{At: start.Add(time.Duration(i-100) * time.Millisecond)})
+			}
+		}
 		allMoves := 0
 		const requests = 300 // over 3 s
 		for i := range requests {
@@ -51,3 +57,23 @@
 		}
 	})
 }
+
+// TestTwoBrokenHostsLeaveTheirDataCentreInUse breaks two of five near hosts for
+// good; the others go on taking the near requests.
+func TestTwoBrokenHostsLeaveTheirDataCentreInUse(t *testing.T) {
+	p := NewPool(here, "me", warmServers(5, 0, 1), PoolConfig{})
+	source, near := rand.NewPCG(1, 2), 0
+	for i := range 1000 { // over 10 s
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		s, _ := p.Choose(source, nil, now)
+		outcome := Outcome{At: now}
+		if s.Host == "dc0-0" || s.Host == "dc0-1" {
+			outcome.Err = verdict.Refuse(verdict.ReasonUnreachable, 0)
+		}
+		s.Stats.Finish(outcome)
+		if s.Place == here {
+			near++
+		}
+	}
+	NewWithT(t).Expect(near).To(BeNumerically(">", 950))
+}
