gate: share the queue by accrued service time

Cause: one caller's storm of urgent or long requests took the queue and the slots; the latency alarm gave false alarms on heavy-tailed servers; a request that outlived one crash was blamed for it and for the next one. Change: priority is a bounded lead in service time; service accrues while a request runs, not only when it ends; the victim of a full queue is the last of who would have accrued most; one slot of a warm server is kept for others while they ask. The latency baseline starts from 20 sorted answers and 5 of 9 slow answers raise the alarm. A permit is blamed for one crash only.

--- a/internal/gate/account.go
+++ b/internal/gate/account.go
@@ -16,32 +16,49 @@
 	// scale of the gate's virtual time.
 	service float64
 	touched time.Time
+	// asked is when the caller last asked for a slot.
+	asked time.Time
+	// running is the number of the caller's requests on the server; started sums
+	// their start times and charged what was paid for them, in seconds.
+	running int
+	started float64
+	charged float64
 	// waiting holds the caller's waiting requests per rank, oldest first.
 	waiting [ranks][]*waiter
 	queued  int
 }
 
-// share is the number of waiting requests over the weight, as if extra more
-// waited.
-func (a *account) share(extra int) float64 {
-	return float64(a.queued+extra) / float64(a.weight)
+// accrued is the service so far, with what the running requests have taken
+// beyond their charge. A caller with long requests pays while they run.
+func (a *account) accrued(clock float64) float64 {
+	beyond := float64(a.running)*clock - a.started - a.charged
+	return a.service + max(0, beyond)/float64(a.weight)
+}
+
+// finish is the service that the account will have accrued once its waiting
+// requests have had the mean service time each.
+func (a *account) finish(clock, mean float64) float64 {
+	return a.accrued(clock) + float64(a.queued)*mean/float64(a.weight)
 }
 
 // accounts holds the callers' accounts and the gate's virtual time.
 type accounts struct {
 	known    *simplelru.LRU[string, *account]
 	halfLife time.Duration
-	// virtual is the service of the account that was served last; it never
-	// falls.
+	began    time.Time
+	// virtual is the least service of the accounts that were served or waited
+	// when a request last started; it never falls.
 	virtual float64
+	// latest and earlier are the last two distinct accounts that asked.
+	latest, earlier *account
 }
 
-func newAccounts(size int, halfLife time.Duration) *accounts {
+func newAccounts(size int, halfLife time.Duration, now time.Time) *accounts {
 	known, err := simplelru.NewLRU[string, *account](size, nil)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &accounts{known: known, halfLife: halfLife}
+	return &accounts{known: known, halfLife: halfLife, began: now}
 }
 
 // of returns a caller's account, brought up to now. An account that others
@@ -53,10 +70,35 @@
 		a.known.Add(caller, acc)
 	}
 	acc.weight = max(weight, 1)
-	a.settle(acc, now)
+	if acc.queued == 0 {
+		a.settle(acc, now)
+	}
+	acc.asked = now
+	if acc != a.latest {
+		a.latest, a.earlier = acc, a.latest
+	}
 	return acc
 }
 
+// othersSince reports whether a caller other than acc asked since a time.
+func (a *accounts) othersSince(acc *account, since time.Time) bool {
+	other := a.latest
+	if other == acc {
+		other = a.earlier
+	}
+	return other != nil && other.asked.After(since)
+}
+
+// top returns the highest rank that waits. The account has a waiter.
+func (a *account) top() rank {
+	for r := rankHigh; r < rankLow; r++ {
+		if len(a.waiting[r]) > 0 {
+			return r
+		}
+	}
+	return rankLow
+}
+
 // settle levels an account with the virtual time, so that quiet time earns no
 // credit, and lets its lead decay.
 func (a *accounts) settle(acc *account, now time.Time) {
@@ -69,13 +111,31 @@
 	acc.touched = now
 }
 
-// charge makes an account pay for a request that starts now.
-func (a *accounts) charge(acc *account, cost time.Duration) {
-	a.virtual = max(a.virtual, acc.service)
-	acc.service += cost.Seconds() / float64(acc.weight)
+// charge makes an account pay in advance for a request that starts now. least
+// is the least service accrued among the accounts that wait.
+func (a *accounts) charge(acc *account, p *Permit, least float64) {
+	clock := a.clock(p.started)
+	a.virtual = max(a.virtual, min(acc.accrued(clock), least))
+	acc.service += p.charged / float64(acc.weight)
+	acc.running++
+	acc.started += clock
+	acc.charged += p.charged
+}
+
+// correct makes an account pay what a request that ends now took beyond its
+// charge.
+func (a *accounts) correct(acc *account, p *Permit, now time.Time) {
+	clock := a.clock(p.started)
+	acc.running--
+	acc.started -= clock
+	acc.charged -= p.charged
+	if acc.running == 0 {
+		acc.started, acc.charged = 0, 0 // no rounding is left behind
+	}
+	acc.service += (a.clock(now) - clock - p.charged) / float64(acc.weight)
 }
 
-// correct makes an account pay what a request took beyond its charge.
-func (a *accounts) correct(acc *account, charged, took time.Duration) {
-	acc.service += (took - charged).Seconds() / float64(acc.weight)
+// clock returns a time in seconds since the accounts began.
+func (a *accounts) clock(now time.Time) float64 {
+	return now.Sub(a.began).Seconds()
 }
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -8,6 +8,17 @@
 	"boragefall/internal/verdict"
 )
 
+const (
+	// rankLead is how many mean requests' service time one rank is worth.
+	rankLead = 8
+	// reservedSlots is the number of slots that one caller never takes while
+	// others asked within reserveFor.
+	reservedSlots = 1
+	reserveFor    = 10 * time.Second
+	// guessedService is the service time until one was measured.
+	guessedService = 10 * time.Millisecond
+)
+
 // refusal returns why a new request is not even queued, or nil.
 func (g *Gate) refusal(ctx context.Context, r Request, deadline, now time.Time) error {
 	if g.leaving {
@@ -81,26 +92,45 @@
 	return g.running.count < g.isolation.limit(g.limiter.current(now))
 }
 
+// reserve is the number of slots that one caller leaves to the others, so that
+// its long requests can't lock them out. A cold server keeps none back: it has
+// to be proved at its whole limit.
+func (g *Gate) reserve() int {
+	if g.limiter.warm && g.limiter.limit > reservedSlots {
+		return reservedSlots
+	}
+	return 0
+}
+
+// mayStart reports whether a caller may take another slot. The reserve is kept
+// only while other callers ask.
+func (g *Gate) mayStart(acc *account, now time.Time) bool {
+	reserve := g.reserve()
+	if reserve == 0 || acc.running < g.limiter.current(now)-reserve {
+		return true
+	}
+	return !g.accounts.othersSince(acc, now.Add(-reserveFor))
+}
+
 // start gives out a permit.
 func (g *Gate) start(r Request, acc *account, now time.Time) *Permit {
 	g.sequence++
 	p := &Permit{
-		gate: g, request: r, account: acc, started: now, charged: g.occupancy.get(),
+		gate: g, request: r, account: acc, started: now, charged: g.meanSeconds(),
 		sequence: g.sequence, epoch: g.limiter.epoch, limit: g.limiter.limit,
 	}
 	if b := g.limiter.latency.class(r.Class); b.established() {
 		p.slowAt = now.Add(overdueFactor * b.slowLimit())
 	}
-	g.accounts.charge(acc, p.charged)
+	g.accounts.charge(acc, p, g.queue.leastService(g.accounts.clock(now)))
 	g.running.add(p)
-	if g.running.count >= p.limit {
+	if g.running.count >= p.limit-g.reserve() {
 		g.fullSequence, g.fullLimit = p.sequence, p.limit
 	}
 	return p
 }
 
-// enqueue adds a waiter, or answers it when it can't be served in time or the
-// queue is full of others.
+// enqueue adds a waiter, or answers it when it can't be served in time.
 func (g *Gate) enqueue(w *waiter, now time.Time) {
 	if w.suspect {
 		g.enqueueSuspect(w, now)
@@ -110,18 +140,15 @@
 		w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
 		return
 	}
-	if g.waiting() >= g.cfg.Service.QueueLimit {
-		evicted := g.queue.victim(w)
-		if evicted == nil {
-			evicted = w
-		} else {
-			g.queue.remove(evicted)
-		}
+	g.queue.push(w)
+}
+
+// trim answers those for whom the queue has no room.
+func (g *Gate) trim(now time.Time) {
+	for g.queue.total > 0 && g.waiting() > g.cfg.Service.QueueLimit {
+		evicted := g.queue.victim(g.accounts.clock(now), g.meanSeconds())
 		evicted.reply(admission{err: g.refuse(g.busyReason(), now)})
 	}
-	if !w.answered {
-		g.queue.push(w)
-	}
 }
 
 func (g *Gate) enqueueSuspect(w *waiter, now time.Time) {
@@ -132,6 +159,15 @@
 	g.isolation.push(w)
 }
 
+// meanSeconds is the mean service time, or a guess while it is unknown, so that
+// requests count for something from the start.
+func (g *Gate) meanSeconds() float64 {
+	if g.occupancy.seconds == 0 {
+		return guessedService.Seconds()
+	}
+	return g.occupancy.seconds
+}
+
 // expectedWait estimates how long a waiter waits for its slot.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
 	rounds := g.queue.ahead(w.account, w.rank) + 1
@@ -149,13 +185,19 @@
 		return
 	}
 	g.dispatchSuspect(now)
+	may := func(acc *account) bool { return g.mayStart(acc, now) }
+	clock, lead := g.accounts.clock(now), rankLead*g.meanSeconds()
 	for g.queue.total > 0 && g.room(now) {
-		w := g.queue.pop()
+		w := g.queue.pop(clock, lead, may)
+		if w == nil {
+			break
+		}
 		if g.divert(w, now) {
 			continue
 		}
 		w.reply(admission{permit: g.start(w.request, w.account, now)})
 	}
+	g.trim(now)
 	g.setWake(now)
 }
 
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 )
 
@@ -25,12 +26,11 @@
 
 // release takes the permit off the server and settles its account.
 func (g *Gate) release(p *Permit, o Outcome, now time.Time) {
-	took := now.Sub(p.started)
 	g.running.remove(p)
 	g.lastEnded = now
-	g.accounts.correct(p.account, p.charged, took)
+	g.accounts.correct(p.account, p, now)
 	if o.Kind.answered() {
-		g.occupancy.add(took)
+		g.occupancy.add(now.Sub(p.started))
 	}
 	if g.isolation.running == p {
 		g.isolation.finished(now)
@@ -79,22 +79,29 @@
 // crashed makes all that was on the server at its crash suspect, once for each
 // crash however many connections broke.
 func (g *Gate) crashed(p *Permit, now time.Time) {
-	sameCrash := p.sequence <= g.crashSequence && now.Sub(g.crashedAt) < crashWindow
-	if sameCrash {
+	if p.blamed && now.Sub(g.crashedAt) < crashWindow {
 		return
 	}
-	g.crashSequence, g.crashedAt = g.sequence, now
+	g.crashedAt = now
 	g.limiter.turnCold(causeCrash)
-	onServer := map[uint64]bool{p.request.Fingerprint: true}
-	for other := g.running.head; other != nil; other = other.next {
-		onServer[other.request.Fingerprint] = true
-	}
-	for _, fp := range g.quarantine.takeAbandoned(now) {
-		onServer[fp] = true
-	}
-	for fp := range onServer {
+	for _, fp := range g.onServer(p, now) {
 		if g.quarantine.crashed(fp, now) {
 			g.logger.Warn().Str("part", "gate").Uint64("fingerprint", fp).Msg("request quarantined after crashes")
 		}
 	}
 }
+
+// onServer returns the fingerprints that the crash which ended p can be blamed
+// on, each once. A request that was blamed for an earlier crash and still ran
+// had survived that one, so it is not blamed twice.
+func (g *Gate) onServer(p *Permit, now time.Time) []uint64 {
+	fingerprints := append(g.quarantine.takeAbandoned(now), p.request.Fingerprint)
+	for other := g.running.head; other != nil; other = other.next {
+		if !other.blamed {
+			other.blamed = true
+			fingerprints = append(fingerprints, other.request.Fingerprint)
+		}
+	}
+	slices.Sort(fingerprints)
+	return slices.Compact(fingerprints)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -42,9 +42,8 @@
 	// limiter's limit fullLimit.
 	fullSequence uint64
 	fullLimit    int
-	// crashSequence and crashedAt identify the latest crash of the server.
-	crashSequence uint64
-	crashedAt     time.Time
+	// crashedAt is when the latest crash of the server was noticed.
+	crashedAt time.Time
 	// lastEnded is when the last request ended.
 	lastEnded time.Time
 	// drained is closed when nothing runs or waits; nil if nobody asks.
@@ -62,15 +61,16 @@
 	if logger == nil {
 		logger = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	}
+	now := time.Now()
 	g := &Gate{
 		logger:     logger,
 		cfg:        cfg,
 		limiter:    newLimiter(cfg),
-		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife),
+		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife, now),
 		quarantine: newQuarantine(cfg),
 		isolation:  isolation{cfg: cfg},
 	}
-	g.publish(time.Now())
+	g.publish(now)
 	return g
 }
 
@@ -87,7 +87,7 @@
 	g.doubtIdle(now)
 	acc := g.accounts.of(r.Caller, r.Weight, now)
 	suspect := g.quarantine.suspected(r.Fingerprint, now)
-	if !suspect && g.queue.total == 0 && g.room(now) {
+	if !suspect && g.queue.total == 0 && g.room(now) && g.mayStart(acc, now) {
 		p := g.start(r, acc, now)
 		g.unlock(now)
 		return p, nil
--- a/internal/gate/latency.go
+++ b/internal/gate/latency.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -11,10 +12,14 @@
 const (
 	// maxClasses bounds the request classes with a baseline.
 	maxClasses = 64
-	// baselineSamples is the number of answers until a baseline counts.
-	baselineSamples = 10
-	// baselineStep is the least step of a baseline, as a share of the latency.
-	baselineStep = 0.02
+	// baselineSamples is the number of answers until a baseline counts; the
+	// first ones, firstSamples, are sorted to start it.
+	baselineSamples = 50
+	firstSamples    = 20
+	// baselineStep is the least step of a baseline, as a share of the latency,
+	// and firstStep over the number of answers an early one.
+	baselineStep = 0.01
+	firstStep    = 4.0
 	// highQuantile is the quantile that bounds ordinary latency.
 	highQuantile = 0.9
 	// medianFactor and highFactor make an answer slow when its latency exceeds
@@ -27,8 +32,8 @@
 	overdueFactor = 2
 	// voteWindow is the number of latest answers that vote on slowness, and
 	// votesToAlarm the number of slow ones that raise the alarm.
-	voteWindow   = 7
-	votesToAlarm = 4
+	voteWindow   = 9
+	votesToAlarm = 5
 	// meanWeight is the weight of one answer in the mean service time.
 	meanWeight = 0.1
 )
@@ -39,6 +44,7 @@
 // Muthukrishnan and Sandler 2013).
 type baseline struct {
 	samples int
+	first   []float64
 	median  float64
 	high    float64
 }
@@ -46,16 +52,28 @@
 func (b *baseline) add(latency time.Duration) {
 	value := math.Log(max(latency, time.Microsecond).Seconds())
 	b.samples++
-	if b.samples == 1 {
-		b.median, b.high = value, value
+	if b.samples <= firstSamples {
+		b.start(value)
 		return
 	}
-	step := max(baselineStep, 1/float64(b.samples))
+	step := max(baselineStep, firstStep/float64(b.samples))
 	b.median += step * quantileMove(value, b.median, 0.5) * 2
 	b.high += step * quantileMove(value, b.high, highQuantile)
 	b.high = max(b.high, b.median)
 }
 
+// start takes the quantiles from the first answers.
+func (b *baseline) start(value float64) {
+	b.first = append(b.first, value)
+	if len(b.first) < firstSamples {
+		return
+	}
+	slices.Sort(b.first)
+	b.median = b.first[firstSamples/2]
+	b.high = b.first[int(firstSamples*highQuantile)-1]
+	b.first = nil
+}
+
 // quantileMove returns the direction in which a quantile's estimate moves.
 func quantileMove(value, estimate, quantile float64) float64 {
 	switch {
@@ -97,7 +115,7 @@
 // comparisons vote, so that a change in the mix of classes is no alarm.
 type latencies struct {
 	classes *simplelru.LRU[string, *baseline]
-	votes   uint8
+	votes   uint16
 }
 
 func newLatencies() *latencies {
@@ -140,7 +158,7 @@
 
 // alarm reports whether most of the latest answers were slow.
 func (l *latencies) alarm() bool {
-	return bits.OnesCount8(l.votes) >= votesToAlarm
+	return bits.OnesCount16(l.votes) >= votesToAlarm
 }
 
 // clearVotes forgets the votes after an alarm or a crash.
--- a/internal/gate/latency_test.go
+++ b/internal/gate/latency_test.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -28,3 +30,41 @@
 		g.Expect(l.alarm()).To(BeTrue())
 	})
 }
+
+// TestNoFalseAlarmOnHeavyTails lets servers of unchanged, heavy-tailed latency
+// run for long, and then slows them down tenfold.
+func TestNoFalseAlarmOnHeavyTails(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	tails := map[string]func() float64{
+		"exponential":   rng.ExpFloat64,
+		"lognormal 0.5": func() float64 { return math.Exp(0.5 * rng.NormFloat64()) },
+		"lognormal 1":   func() float64 { return math.Exp(rng.NormFloat64()) },
+	}
+	const servers, answers, maxDelay = 50, 2000, 40
+	for name, tail := range tails {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			alarms, delays := 0, 0
+			for range servers {
+				l := newLatencies()
+				observe := func(factor float64) bool {
+					l.observe("", time.Duration(factor*tail()*float64(testLatency)))
+					return l.alarm()
+				}
+				for range answers {
+					if observe(1) {
+						alarms++
+						l.clearVotes()
+					}
+				}
+				l.clearVotes()
+				for delay := 1; delay <= maxDelay && !observe(10); delay++ {
+					delays++
+				}
+			}
+			t.Logf("%d false alarms in %d answers, noticed after %.1f", alarms, servers*answers, 1+float64(delays)/servers)
+			g.Expect(alarms).To(BeNumerically("<=", 2))
+			g.Expect(delays).To(BeNumerically("<=", 12*servers))
+		})
+	}
+}
--- a/internal/gate/permit.go
+++ b/internal/gate/permit.go
@@ -11,15 +11,18 @@
 	started time.Time
 	// slowAt is when the request has run suspiciously long; zero if unknown.
 	slowAt time.Time
-	// charged is the service time that the account paid in advance.
-	charged time.Duration
+	// charged is the service time that the account paid in advance, in seconds.
+	charged float64
 	// sequence counts the gate's admissions.
 	sequence uint64
 	// epoch is the limiter's epoch at admission.
 	epoch uint64
 	// limit is the limiter's own limit at admission.
 	limit int
-	ended bool
+	// blamed reports that a crash of the server was put down to the request
+	// among others, while it ran.
+	blamed bool
+	ended  bool
 
 	previous, next *Permit
 }
--- a/internal/gate/queue.go
+++ b/internal/gate/queue.go
@@ -1,21 +1,20 @@
 package gate
 
 import (
+	"math"
 	"slices"
 )
 
-// lowerRankTurn gives each so many-th slot to the lowest rank that waits, so
-// that a stream of urgent requests can't starve the others.
-const lowerRankTurn = 10
+// roomLead is how many mean requests' service time one rank is worth when the
+// queue is full: enough for an urgent request to replace another caller's only
+// lesser one, and too little for a storm of urgent ones to fill the queue.
+const roomLead = 2
 
-// queue holds the waiting requests: by rank, and within a rank fair between
-// callers. It is not safe for concurrent use.
+// queue holds the waiting requests: fair between callers and by rank. It is not safe for concurrent use.
 type queue struct {
 	// callers lists the accounts with waiting requests, in order of arrival.
 	callers []*account
 	total   int
-	perRank [ranks]int
-	turns   int
 }
 
 // push adds a waiter.
@@ -26,7 +25,6 @@
 	}
 	acc.waiting[w.rank] = append(acc.waiting[w.rank], w)
 	acc.queued++
-	q.perRank[w.rank]++
 	q.total++
 }
 
@@ -40,47 +38,40 @@
 	}
 	acc.waiting[w.rank] = slices.Delete(line, i, i+1)
 	acc.queued--
-	q.perRank[w.rank]--
 	q.total--
 	if acc.queued == 0 {
 		q.callers = slices.DeleteFunc(q.callers, func(a *account) bool { return a == acc })
 	}
 }
 
-// pop takes out the next waiter: of the highest rank, or each tenth time of the
-// lowest, the oldest request of the caller with the least service.
-func (q *queue) pop() *waiter {
-	if q.total == 0 {
-		return nil
-	}
-	q.turns++
-	level := q.nextRank()
+// pop takes out the next waiter, or returns nil if no caller may start one: of
+// the caller with the least service, its oldest of its highest rank. Each rank
+// lets a caller be ahead in service by another lead seconds, so a stream of
+// urgent requests goes first for a while and then shares.
+func (q *queue) pop(clock, lead float64, may func(*account) bool) *waiter {
 	var best *account
+	var bestKey float64
 	for _, acc := range q.callers {
-		if len(acc.waiting[level]) > 0 && (best == nil || acc.service < best.service) {
-			best = acc
+		key := acc.accrued(clock) - lead*float64(rankLow-acc.top())
+		if (best == nil || key < bestKey) && may(acc) {
+			best, bestKey = acc, key
 		}
 	}
-	w := best.waiting[level][0]
+	if best == nil {
+		return nil
+	}
+	w := best.waiting[best.top()][0]
 	q.remove(w)
 	return w
 }
 
-func (q *queue) nextRank() rank {
-	waits := func(r rank) bool { return q.perRank[r] > 0 }
-	if q.turns%lowerRankTurn == 0 {
-		for r := rankLow; r > rankHigh; r-- {
-			if waits(r) {
-				return r
-			}
-		}
-	}
-	for r := rankHigh; r < rankLow; r++ {
-		if waits(r) {
-			return r
-		}
+// leastService returns the least service among the waiting callers.
+func (q *queue) leastService(clock float64) float64 {
+	least := math.Inf(1)
+	for _, acc := range q.callers {
+		least = min(least, acc.accrued(clock))
 	}
-	return rankLow
+	return least
 }
 
 // ahead estimates how many waiting requests are served before a new one of the
@@ -107,38 +98,23 @@
 	return n
 }
 
-// victim returns the waiter that makes room for w in a full queue: the newest
-// of the lowest rank of the caller that holds most for its weight. It is nil
-// when w itself has to go.
-func (q *queue) victim(w *waiter) *waiter {
-	greediest := q.greediest(w.account)
-	own := w.account.share(1)
-	if greediest != nil && greediest.share(0) > own {
-		return lastOf(greediest)
-	}
-	// On a level with the greediest, rank decides.
+// victim takes out the waiter that has to go when the queue holds too many: the
+// last of the caller that would have accrued most service, given the mean
+// service time in seconds; each rank counts as roomLead requests less.
+func (q *queue) victim(clock, mean float64) *waiter {
 	var worst *waiter
+	var worstKey float64
 	for _, acc := range q.callers {
 		last := lastOf(acc)
-		level := acc == w.account || acc.share(0) >= own
-		if level && last.rank > w.rank && (worst == nil || last.rank > worst.rank) {
-			worst = last
+		key := acc.finish(clock, mean) + roomLead*mean*float64(last.rank)
+		if worst == nil || key >= worstKey {
+			worst, worstKey = last, key
 		}
 	}
+	q.remove(worst)
 	return worst
 }
 
-// greediest returns the account other than own that holds most for its weight.
-func (q *queue) greediest(own *account) *account {
-	var greediest *account
-	for _, acc := range q.callers {
-		if acc != own && (greediest == nil || acc.share(0) > greediest.share(0)) {
-			greediest = acc
-		}
-	}
-	return greediest
-}
-
 // lastOf returns the newest waiter of an account's lowest rank.
 func lastOf(acc *account) *waiter {
 	for r := rankLow; ; r-- {
@@ -151,8 +127,9 @@
 // drop takes out all waiters and returns them.
 func (q *queue) drop() []*waiter {
 	var all []*waiter
-	for q.total > 0 {
-		all = append(all, q.pop())
+	anyone := func(*account) bool { return true }
+	for w := q.pop(0, 0, anyone); w != nil; w = q.pop(0, 0, anyone) {
+		all = append(all, w)
 	}
 	return all
 }
