--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -184,6 +184,19 @@
 	})
 }
 
+func TestPoisonRequestWhoseCallerGaveUp(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const poison, bystander = 1, 2
+		p, err := admitNow(g, Request{Fingerprint: poison})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCanceled})
+		beside, err := admitNow(g, Request{Fingerprint: bystander})
+		Expect(err).NotTo(HaveOccurred())
+		beside.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(g.Suspects()).To(ConsistOf(uint64(poison), uint64(bystander)))
+	})
+}
+
 func TestPoisonRequestAcrossServersOfOneService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -16,12 +16,15 @@
 	"boragefall/internal/verdict"
 )
 
-// TestMain fixes the seed of the properties unless the command line names one.
+// TestMain fixes the seed and the length of the properties unless the command
+// line names them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "100"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
@@ -114,6 +117,20 @@
 	})
 }
 
+func TestTrickleProvesNoMoreThanItNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		g := New(testConfig(), nil)
+		for range 1000 {
+			p, err := admitNow(g, Request{Caller: "crew"})
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(testLatency)
+			p.Done(good())
+		}
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
+	})
+}
+
 func TestLeavingRefusesWaitersAndDrains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
--- /dev/null
+++ b/internal/gate/parts_test.go
@@ -0,0 +1,139 @@
+package gate
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/config"
+	"boragefall/internal/host"
+)
+
+var _ = Describe("quarantine", func() {
+	var (
+		q   *quarantine
+		now time.Time
+	)
+	BeforeEach(func() {
+		q = newQuarantine(Config{QuarantineSize: 2, QuarantineFor: time.Minute, AbandonedFor: time.Second})
+		now = time.Unix(1000, 0)
+	})
+
+	It("convicts after two crashes and forgets after its time", func() {
+		Expect(q.crashed(7, now)).To(BeFalse())
+		Expect(q.suspected(7, now)).To(BeTrue())
+		Expect(q.crashed(7, now)).To(BeTrue())
+		Expect(q.own(now)).To(ConsistOf(uint64(7)))
+		Expect(q.convictedFor(7, now.Add(time.Second))).To(Equal(59 * time.Second))
+		now = now.Add(time.Minute)
+		Expect(q.convictedFor(7, now)).To(BeZero())
+		Expect(q.crashed(7, now)).To(BeTrue(), "one more crash convicts again")
+	})
+
+	It("clears a suspect that ran well", func() {
+		q.crashed(7, now)
+		q.ranWell(7)
+		Expect(q.crashed(7, now)).To(BeFalse())
+	})
+
+	It("does not prolong a conviction that is heard again", func() {
+		q.heard(7, now)
+		q.heard(7, now.Add(50*time.Second))
+		Expect(q.convictedFor(7, now.Add(59*time.Second))).To(Equal(time.Second))
+		Expect(q.own(now)).To(BeEmpty())
+	})
+
+	It("stays within its size and knows no fingerprint 0", func() {
+		for fp := range uint64(10) {
+			q.crashed(fp, now)
+			q.heard(100+fp, now)
+		}
+		Expect(q.suspectList(now)).To(ConsistOf(uint64(8), uint64(9)))
+		Expect(q.convicted.Len()).To(Equal(2))
+		q.crashed(0, now)
+		Expect(q.suspected(0, now)).To(BeFalse())
+	})
+})
+
+var _ = Describe("queue", func() {
+	push := func(q *queue, acc *account, p config.Priority) *waiter {
+		w := &waiter{account: acc, rank: rankOf(p)}
+		q.push(w)
+		return w
+	}
+	anyone := func(*account) bool { return true }
+
+	It("serves by service, weight and a bounded lead of rank", func() {
+		q := &queue{}
+		crew, boat := &account{weight: 1, service: 1}, &account{weight: 1, service: 2}
+		lesser := push(q, crew, config.PriorityLow)
+		normal := push(q, crew, "")
+		urgent := push(q, boat, config.PriorityHigh)
+		Expect(q.ahead(crew, rankNormal)).To(Equal(2))
+		Expect(q.pop(0, 0.5, anyone)).To(Equal(normal), "the boat is ahead by more than the lead")
+		crew.service = 1.5
+		Expect(q.pop(0, 0.5, anyone)).To(Equal(urgent))
+		Expect(q.pop(0, 0.5, func(*account) bool { return false })).To(BeNil())
+		Expect(q.pop(0, 0.5, anyone)).To(Equal(lesser))
+		Expect(q.total + len(q.callers)).To(BeZero())
+	})
+
+	It("gives up the last of who has most, counting what still runs", func() {
+		q := &queue{}
+		crew := &account{weight: 1, service: 10}
+		boat := &account{weight: 1, running: 2}
+		heavy := &account{weight: 10}
+		push(q, crew, "")
+		last := push(q, boat, config.PriorityLow)
+		push(q, boat, "")
+		for range 5 {
+			push(q, heavy, "")
+		}
+		Expect(q.victim(0, 1).account).To(BeIdenticalTo(crew))
+		Expect(q.victim(20, 1)).To(Equal(last))
+	})
+})
+
+var _ = Describe("accounts", func() {
+	It("levels newcomers and lets leads decay", func() {
+		start := time.Unix(1000, 0)
+		a := newAccounts(2, time.Second, start)
+		boat := a.of("boat", 2, start)
+		p := &Permit{started: start, charged: 4}
+		a.charge(boat, p, boat.service)
+		a.correct(boat, p, start.Add(8*time.Second))
+		Expect(boat.service).To(Equal(4.0), "8 s of service at weight 2")
+		a.virtual = 1
+		Expect(a.of("crew", 1, start).service).To(Equal(1.0))
+		Expect(a.of("boat", 2, start.Add(time.Second)).service).To(Equal(2.5))
+		Expect(a.othersSince(boat, start.Add(-time.Second))).To(BeTrue())
+		Expect(a.othersSince(boat, start)).To(BeFalse())
+	})
+})
+
+var _ = Describe("settings", func() {
+	It("fills in defaults and keeps limits in order", func() {
+		s := Config{Service: config.Service{Slots: 8, Connections: 4, ColdLimit: 9}}.withDefaults().Service
+		Expect(s).To(Equal(config.Service{Slots: 4, Connections: 4, ColdLimit: 4, QueueLimit: 8, WarmAfter: 80}))
+	})
+
+	It("changes under way without giving a cold server more than it earned", func() {
+		l := newLimiter(testConfig().withDefaults())
+		l.limit = 5
+		s := l.cfg.Service
+		s.ColdLimit = 1
+		l.setService(s)
+		Expect(l.limit).To(Equal(4))
+		s.Slots = 3
+		l.setService(s)
+		Expect(l.limit).To(Equal(3))
+	})
+
+	It("packs a load into one word", func() {
+		var p packedLoad
+		want := Load{Running: 3, Queued: 70000, Limit: 10, State: host.StateWarm}
+		p.store(want)
+		Expect(p.load()).To(Equal(want))
+	})
+})
