--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -34,6 +34,9 @@
 	WarmAfter int
 	// WorkTime is the mean run time of a request. Default 2 ms.
 	WorkTime time.Duration
+	// ExactWorkTime makes every run last exactly WorkTime, which may then be 0,
+	// cold or warm. Default false.
+	ExactWorkTime bool
 	// RestartTime is the time from a crash to the next process. Default 500 ms.
 	RestartTime time.Duration
 	// StartWarm starts the first process warm. Default false.
@@ -60,7 +63,7 @@
 	if c.WarmAfter == 0 {
 		c.WarmAfter = defaults.WarmAfter
 	}
-	if c.WorkTime == 0 {
+	if c.WorkTime == 0 && !c.ExactWorkTime {
 		c.WorkTime = defaults.WorkTime
 	}
 	if c.RestartTime == 0 {
@@ -136,13 +139,28 @@
 func (s *Server) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.end() {
+		s.record.addCrash()
+	}
+}
+
+// Replace ends the process as an operator does who puts a new, cold one in its
+// place. It is not recorded as a crash.
+func (s *Server) Replace() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end()
+}
+
+// end cuts the process off unless it has ended; the caller holds mu.
+func (s *Server) end() bool {
 	if s.crashing || s.stopped {
-		return
+		return false
 	}
 	s.crashing = true
-	s.record.addCrash()
 	_ = s.current.Close()
 	time.AfterFunc(s.cfg.RestartTime, s.restart)
+	return true
 }
 
 // Close stops the server for good.
@@ -272,14 +290,24 @@
 	}
 }
 
-// work takes the run time; a cold server is three times as slow. It reports
-// false when the request was cancelled.
-func (p *process) work(ctx context.Context, cold bool) bool {
-	mean := p.server.cfg.WorkTime
-	took := mean/2 + time.Duration(rand.Int64N(int64(mean)+1))
+// runTime draws the run time; a cold server is three times as slow.
+func (c ServerConfig) runTime(cold bool) time.Duration {
+	if c.ExactWorkTime {
+		return c.WorkTime
+	}
+	took := c.WorkTime/2 + time.Duration(rand.Int64N(int64(c.WorkTime)+1))
 	if cold {
 		took *= 3
 	}
+	return took
+}
+
+// work takes the run time. It reports false when the request was cancelled.
+func (p *process) work(ctx context.Context, cold bool) bool {
+	took := p.server.cfg.runTime(cold)
+	if took == 0 {
+		return true
+	}
 	timer := time.NewTimer(took)
 	defer timer.Stop()
 	select {
--- a/internal/workload/change.go
+++ b/internal/workload/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"boragefall/internal/config"
@@ -41,29 +42,42 @@
 // node has at least the version in force; it gives up after the limit. The
 // times come from looks every millisecond.
 func (f *Fleet) Converged(ctx context.Context, v config.Version, since time.Time, limit time.Duration) ([]time.Duration, bool) {
-	pending := make([]*Member, 0, len(f.Members))
-	for _, m := range f.Members {
-		if m.Node() != nil {
-			pending = append(pending, m)
-		}
-	}
+	return f.ConvergedAt(ctx, f.Running(), v, since, limit)
+}
+
+// ConvergedAt does the same for the members named. A member without a node is
+// waited for until its node has started.
+func (f *Fleet) ConvergedAt(ctx context.Context, members []*Member, v config.Version, since time.Time, limit time.Duration) ([]time.Duration, bool) {
+	pending := slices.Clone(members)
 	var times []time.Duration
 	ticker := time.NewTicker(time.Millisecond)
 	defer ticker.Stop()
 	for len(pending) > 0 && time.Since(since) < limit && ctx.Err() == nil {
 		<-ticker.C
-		rest := pending[:0]
-		for _, m := range pending {
+		pending = slices.DeleteFunc(pending, func(m *Member) bool {
 			n := m.Node()
-			switch {
-			case n == nil:
-			case n.Version().Less(v):
-				rest = append(rest, m)
-			default:
+			done := n != nil && !n.Version().Less(v)
+			if done {
 				times = append(times, time.Since(since))
 			}
-		}
-		pending = rest
+			return done
+		})
 	}
 	return times, len(pending) == 0
 }
+
+// Running returns the members whose nodes run.
+func (f *Fleet) Running() []*Member {
+	var running []*Member
+	for _, m := range f.Members {
+		if m.Node() != nil {
+			running = append(running, m)
+		}
+	}
+	return running
+}
+
+// Version returns the version of the folder as it is published now.
+func (f *Fleet) Version() config.Version {
+	return f.version(f.Platform.Revision())
+}
--- a/internal/workload/demo.go
+++ b/internal/workload/demo.go
@@ -175,22 +175,10 @@
 	r.ControlPerNode = float64(sent) / elapsed.Seconds() / float64(r.Nodes)
 	r.SourceReads, _ = d.fleet.Platform.Reads()
 	r.OutDataCentre = string(d.absence.DataCentre)
-	r.LastWorkAfterMs = d.fleet.lastWork(d.absence).Milliseconds()
+	r.LastWorkAfterMs = d.fleet.LastWork(d.absence).Milliseconds()
 	r.Broken = d.tally.Broken(d.fleet, []Absence{d.absence}, older)
 	r.BrokenTotal = r.Broken.Total()
 	if !r.Converged || !r.BadRejected {
 		r.BrokenTotal++
 	}
 }
-
-// lastWork returns how long after the take-out the last run began.
-func (f *Fleet) lastWork(a Absence) time.Duration {
-	var last time.Duration
-	for _, run := range f.Record.Runs() {
-		inside := run.At.After(a.From) && run.At.Before(a.To)
-		if inside && f.centreOf(run.Host) == a.DataCentre {
-			last = max(last, run.At.Sub(a.From))
-		}
-	}
-	return last
-}
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -5,6 +5,7 @@
 import (
 	"io/fs"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,8 @@
 	Idempotent bool
 	// BodyBytes is the size of the request's body.
 	BodyBytes int
+	// Service runs the operation.
+	Service string
 }
 
 // Deployments returns the users' meshes.
@@ -73,11 +76,11 @@
 			{Name: "logbook", Hosts: 4, Slots: 10, Connections: 120, ColdLimit: 1, WorkTime: workTime},
 		},
 		Operations: []Operation{
-			{Name: "lookup", Caller: "harbour-crew", Method: http.MethodGet, Path: "/status/buoy-7", Share: 60, Idempotent: true},
-			{Name: "order", Caller: "harbour-crew", Method: http.MethodPost, Path: "/orders", Share: 15, BodyBytes: 200},
-			{Name: "discharge", Caller: "depot", Method: http.MethodPost, Path: "/discharges", Share: 10, BodyBytes: 100},
-			{Name: "log-lookup", Caller: "depot", Method: http.MethodGet, Path: "/logs/buoy-7", Share: 10, Idempotent: true},
-			{Name: "log-upload", Caller: "service-boat", Method: http.MethodPost, Path: "/logs/buoy-7", Share: 5, BodyBytes: 64 << 10},
+			{Name: "lookup", Service: "status", Caller: "harbour-crew", Method: http.MethodGet, Path: "/status/buoy-7", Share: 60, Idempotent: true},
+			{Name: "order", Service: "ordering", Caller: "harbour-crew", Method: http.MethodPost, Path: "/orders", Share: 15, BodyBytes: 200},
+			{Name: "discharge", Service: "ordering", Caller: "depot", Method: http.MethodPost, Path: "/discharges", Share: 10, BodyBytes: 100},
+			{Name: "log-lookup", Service: "logbook", Caller: "depot", Method: http.MethodGet, Path: "/logs/buoy-7", Share: 10, Idempotent: true},
+			{Name: "log-upload", Service: "logbook", Caller: "service-boat", Method: http.MethodPost, Path: "/logs/buoy-7", Share: 5, BodyBytes: 64 << 10},
 		},
 	}
 }
@@ -93,11 +96,11 @@
 			{Name: "release", Hosts: 4, Slots: 6, Connections: 130, ColdLimit: 1, WorkTime: workTime},
 		},
 		Operations: []Operation{
-			{Name: "standings", Caller: "fancier", Method: http.MethodGet, Path: "/standings/race-3", Share: 50, Idempotent: true},
-			{Name: "loft", Caller: "fancier", Method: http.MethodGet, Path: "/lofts/12", Share: 15, Idempotent: true},
-			{Name: "arrival", Caller: "fancier", Method: http.MethodPost, Path: "/arrivals", Share: 20, BodyBytes: 150},
-			{Name: "release", Caller: "convoy", Method: http.MethodGet, Path: "/releases/race-3", Share: 10, Idempotent: true},
-			{Name: "proof", Caller: "club", Method: http.MethodPost, Path: "/proofs/race-3", Share: 5, BodyBytes: 64 << 10},
+			{Name: "standings", Service: "results", Caller: "fancier", Method: http.MethodGet, Path: "/standings/race-3", Share: 50, Idempotent: true},
+			{Name: "loft", Service: "results", Caller: "fancier", Method: http.MethodGet, Path: "/lofts/12", Share: 15, Idempotent: true},
+			{Name: "arrival", Service: "clocking", Caller: "fancier", Method: http.MethodPost, Path: "/arrivals", Share: 20, BodyBytes: 150},
+			{Name: "release", Service: "release", Caller: "convoy", Method: http.MethodGet, Path: "/releases/race-3", Share: 10, Idempotent: true},
+			{Name: "proof", Service: "release", Caller: "club", Method: http.MethodPost, Path: "/proofs/race-3", Share: 5, BodyBytes: 64 << 10},
 		},
 	}
 }
@@ -118,3 +121,57 @@
 	}
 	return files, nil
 }
+
+// WithHosts returns the deployment with so many hosts in all, spread over the
+// services in the proportion of today.
+func (d Deployment) WithHosts(n int) Deployment {
+	today := 0
+	for _, s := range d.Services {
+		today += s.Hosts
+	}
+	services := slices.Clone(d.Services)
+	given := 0
+	for i := range services {
+		services[i].Hosts = max(1, n*services[i].Hosts/today)
+		given += services[i].Hosts
+	}
+	services[0].Hosts += n - given
+	d.Services = services
+	return d
+}
+
+// WithWorkTime returns the deployment with a mean run time for all services.
+func (d Deployment) WithWorkTime(t time.Duration) Deployment {
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		d.Services[i].WorkTime = t
+	}
+	return d
+}
+
+// Size returns the size of a service.
+func (d Deployment) Size(service string) ServiceSize {
+	for _, s := range d.Services {
+		if s.Name == service {
+			return s
+		}
+	}
+	return ServiceSize{}
+}
+
+// HostsOutside returns the number of a service's hosts that stand outside a
+// data centre.
+func (d Deployment) HostsOutside(service string, out datacentre.ID) int {
+	count := 0
+	for i := range d.Size(service).Hosts {
+		if d.centre(i) != out {
+			count++
+		}
+	}
+	return count
+}
+
+// centre returns the data centre of a service's i-th host: hosts go round them.
+func (d Deployment) centre(i int) datacentre.ID {
+	return d.DataCentres[i%len(d.DataCentres)]
+}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -14,7 +15,6 @@
 	"boragefall/internal/config"
 	"boragefall/internal/datacentre"
 	"boragefall/internal/host"
-	"boragefall/internal/idempotency"
 	"boragefall/internal/node"
 	"boragefall/internal/settings"
 	"boragefall/internal/standin"
@@ -35,6 +35,12 @@
 	Copies int
 	// DrainLimit bounds planned stops. Default 10 s.
 	DrainLimit time.Duration
+	// WithoutNodes starts the platform and the backend servers only. Default
+	// false.
+	WithoutNodes bool
+	// TuneServer changes the configuration of each backend server before its
+	// start. Default none.
+	TuneServer func(*standin.ServerConfig)
 	// Tune changes the settings of each node before its start. Default none.
 	Tune func(*settings.Settings)
 }
@@ -50,24 +56,8 @@
 	files    []config.File
 	platform *http.Server
 	url      string
-}
-
-// Member is one host: a backend server and the node beside it.
-type Member struct {
-	Listing host.Listing
-	Server  *standin.Server
-
-	mu       sync.Mutex
-	node     *node.Node
-	sockets  node.Listeners // of the first start; a restart listens anew
-	settings settings.Settings
-}
 
-// Node returns the running node, or nil while it is stopped.
-func (m *Member) Node() *node.Node {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node
+	sourceBytes atomic.Int64
 }
 
 // StartFleet starts a deployment and waits until every node is ready.
@@ -99,6 +89,9 @@
 	}
 	f.Platform.Publish(f.files)
 	f.Platform.SetHosts(f.Listings())
+	if f.cfg.WithoutNodes {
+		return nil
+	}
 	for _, m := range f.Members {
 		if err := f.StartNode(ctx, m); err != nil {
 			return err
@@ -112,6 +105,7 @@
 	if err != nil {
 		return eris.Wrap(err, "start platform")
 	}
+	listener = &countingListener{Listener: listener, count: &f.sourceBytes}
 	f.url = "http://" + listener.Addr().String()
 	f.platform = &http.Server{Handler: f.Platform.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = f.platform.Serve(listener) }()
@@ -136,12 +130,16 @@
 // addMember starts the i-th server of a service; hosts go round the data
 // centres.
 func (f *Fleet) addMember(size ServiceSize, i int) error {
-	centre := f.Deployment.DataCentres[i%len(f.Deployment.DataCentres)]
+	centre := f.Deployment.centre(i)
 	id := host.ID(fmt.Sprintf("%s-%s-%d", centre, size.Name, i+1))
-	server, err := standin.NewServer(standin.ServerConfig{
+	cfg := standin.ServerConfig{
 		Host: id, Slots: size.Slots, Connections: size.Connections,
 		ColdLimit: size.ColdLimit, WorkTime: size.WorkTime, StartWarm: f.cfg.StartWarm,
-	}, f.Record)
+	}
+	if f.cfg.TuneServer != nil {
+		f.cfg.TuneServer(&cfg)
+	}
+	server, err := standin.NewServer(cfg, f.Record)
 	if err != nil {
 		return eris.Wrap(err, "start server")
 	}
@@ -161,7 +159,7 @@
 			HealthPath: standin.PathHealth, LoadPath: standin.PathLoad,
 			LinkListen: linkAddress, CallersListen: listeners.Callers.Addr().String(),
 			AdminListen: listeners.Admin.Addr().String(),
-			Platform: f.url, LogLevel: "info", TraceExporter: "off",
+			Platform:    f.url, LogLevel: "info", TraceExporter: "off",
 			DrainLimit: f.cfg.DrainLimit, ControlBytesPerSecond: 7000,
 		},
 	}
@@ -172,6 +170,16 @@
 	return nil
 }
 
+// PlatformURL returns the base URL of the stand-in platform.
+func (f *Fleet) PlatformURL() string {
+	return f.url
+}
+
+// SourceBytes returns the bytes that the platform received and sent.
+func (f *Fleet) SourceBytes() int64 {
+	return f.sourceBytes.Load()
+}
+
 // openListeners opens a node's sockets on free loopback ports. They stay open
 // until the node takes them, so that nothing else gets the ports.
 func openListeners() (node.Listeners, error) {
@@ -206,90 +214,6 @@
 	return listings
 }
 
-// StartNode starts the node of a member that has none.
-func (f *Fleet) StartNode(ctx context.Context, m *Member) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n, err := node.Start(ctx, m.settings, node.Options{Logger: f.cfg.Logger, Listeners: m.sockets})
-	if err != nil {
-		return err
-	}
-	m.sockets = node.Listeners{}
-	m.node = n
-	return nil
-}
-
-// StopNode is a planned stop of a member's node.
-func (f *Fleet) StopNode(ctx context.Context, m *Member) error {
-	m.mu.Lock()
-	n := m.node
-	m.mu.Unlock()
-	err := n.Stop(ctx)
-	m.mu.Lock()
-	m.node = nil
-	m.mu.Unlock()
-	return err
-}
-
-// KillNode ends a member's node at once.
-func (f *Fleet) KillNode(m *Member) {
-	m.mu.Lock()
-	n := m.node
-	m.node = nil
-	m.mu.Unlock()
-	if n != nil {
-		n.Kill()
-	}
-}
-
-const (
-	readyTimeout = 30 * time.Second
-	readyPoll    = 20 * time.Millisecond
-)
-
-// WaitKeys waits until every gate holds a lease and takes keys minted now.
-func (f *Fleet) WaitKeys(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, m := range f.Members {
-		for n := m.Node(); n != nil && n.Status().LeaseSeconds <= 0; {
-			select {
-			case <-time.After(readyPoll):
-			case <-ctx.Done():
-				return eris.Wrapf(ErrNotReady, "%s has no lease", m.Listing.ID)
-			}
-		}
-	}
-	// A gate that began to own keys takes those minted a clock bound later.
-	time.Sleep(2*idempotency.ClockBound + readyPoll)
-	return nil
-}
-
-// WaitReady waits until every running node is ready and knows all hosts.
-func (f *Fleet) WaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, m := range f.Members {
-		for !f.ready(m) {
-			select {
-			case <-time.After(readyPoll):
-			case <-ctx.Done():
-				return eris.Wrapf(ErrNotReady, "%s", m.Listing.ID)
-			}
-		}
-	}
-	return nil
-}
-
-func (f *Fleet) ready(m *Member) bool {
-	n := m.Node()
-	if n == nil {
-		return true
-	}
-	status := n.Status()
-	return status.Ready && status.Members >= len(f.Members)
-}
-
 // Close stops everything at once.
 func (f *Fleet) Close() {
 	var work sync.WaitGroup
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -33,6 +33,9 @@
 	MaxInFlight int
 	// Operations replaces the deployment's operations when set.
 	Operations []Operation
+	// Transport replaces the entry nodes: it takes every request, whatever its
+	// host. Default none.
+	Transport http.RoundTripper
 	// Seed makes the callers' choices repeatable. Default 1.
 	Seed uint64
 }
@@ -72,12 +75,9 @@
 // NewLoad prepares a load on a fleet; its results go to a tally.
 func (f *Fleet) NewLoad(cfg LoadConfig, tally *Tally) *Load {
 	cfg = cfg.withDefaults(f)
-	dialer := net.Dialer{Timeout: time.Second}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: cfg.MaxInFlight,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+	transport := cfg.Transport
+	if transport == nil {
+		transport = Transport(cfg.MaxInFlight)
 	}
 	return &Load{
 		cfg:    cfg,
@@ -87,6 +87,17 @@
 	}
 }
 
+// Transport returns the connections of callers: up to so many idle ones a host.
+func Transport(idle int) *http.Transport {
+	dialer := net.Dialer{Timeout: time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
 // Run puts the load on the fleet and waits for the last operation.
 func (l *Load) Run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Duration)
@@ -156,7 +167,7 @@
 }
 
 func (l *Load) performance(o Operation, random *rand.Rand) *performance {
-	p := &performance{operation: o, id: uuid.NewString(), random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
+	p := &performance{operation: o, id: uuid.NewString(), phase: l.tally.Phase(), random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
 	if !o.Idempotent && random.IntN(100) >= l.cfg.UnkeyedPercent {
 		p.keyed = true
 	}
@@ -169,6 +180,9 @@
 
 // entry picks an entry node as a caller would: any that it does not avoid.
 func (l *Load) entry(random *rand.Rand) string {
+	if l.cfg.Transport != nil {
+		return "mesh.invalid"
+	}
 	members := l.fleet.Members
 	offset := random.IntN(len(members))
 	fallback := ""
--- a/internal/workload/perform.go
+++ b/internal/workload/perform.go
@@ -20,6 +20,7 @@
 type performance struct {
 	operation Operation
 	id        string
+	phase     string // of the load, at the start
 	keyed     bool
 	random    *rand.Rand
 }
--- a/internal/workload/promises.go
+++ b/internal/workload/promises.go
@@ -73,6 +73,18 @@
 	return count
 }
 
+// LastWork returns how long after the take-out the last run began.
+func (f *Fleet) LastWork(a Absence) time.Duration {
+	var last time.Duration
+	for _, run := range f.Record.Runs() {
+		inside := run.At.After(a.From) && run.At.Before(a.To)
+		if inside && f.centreOf(run.Host) == a.DataCentre {
+			last = max(last, run.At.Sub(a.From))
+		}
+	}
+	return last
+}
+
 // centreOf returns the data centre of a host.
 func (f *Fleet) centreOf(id host.ID) datacentre.ID {
 	for _, m := range f.Members {
--- a/internal/workload/tally.go
+++ b/internal/workload/tally.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,13 +23,17 @@
 	record *standin.Record
 
 	mu      sync.Mutex
-	kinds   map[string]*kindTally
+	phase   string
+	kinds   map[kindKey]*kindTally
 	tries   int
 	refusal map[string]int
 	ends    []ending
 	wrong   int
 }
 
+// kindKey names a kind of operation in a phase of the load.
+type kindKey struct{ phase, name string }
+
 // kindTally counts one kind of operation.
 type kindTally struct {
 	count      int
@@ -48,7 +53,21 @@
 
 // NewTally returns an empty tally that compares with a record.
 func NewTally(record *standin.Record) *Tally {
-	return &Tally{record: record, kinds: map[string]*kindTally{}, refusal: map[string]int{}}
+	return &Tally{record: record, kinds: map[kindKey]*kindTally{}, refusal: map[string]int{}}
+}
+
+// Enter begins a phase: operations that start from now on count to it.
+func (t *Tally) Enter(phase string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.phase = phase
+}
+
+// Phase returns the phase that counts now.
+func (t *Tally) Phase() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.phase
 }
 
 func (t *Tally) tried(r reply) {
@@ -66,7 +85,7 @@
 func (t *Tally) ended(p *performance, last reply, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k := t.kind(p.operation)
+	k := t.kind(p.phase, p.operation)
 	k.count++
 	if last.good() {
 		k.good++
@@ -94,15 +113,12 @@
 	}
 }
 
-func (t *Tally) kind(o Operation) *kindTally {
-	k, ok := t.kinds[o.Name]
+func (t *Tally) kind(phase string, o Operation) *kindTally {
+	key := kindKey{phase: phase, name: o.Name}
+	k, ok := t.kinds[key]
 	if !ok {
-		k = &kindTally{
-			byVerdict:  map[string]int{},
-			latency:    hdrhistogram.New(lowestMicros, highestMicros, digits),
-			idempotent: o.Idempotent,
-		}
-		t.kinds[o.Name] = k
+		k = newKindTally(o.Idempotent)
+		t.kinds[key] = k
 	}
 	return k
 }
@@ -111,6 +127,7 @@
 type KindResult struct {
 	Operations int            `json:"operations"`
 	Good       int            `json:"good"`
+	Idempotent bool           `json:"idempotent"`
 	Failed     map[string]int `json:"failed,omitempty"`
 	P50Ms      float64        `json:"p50Ms"`
 	P99Ms      float64        `json:"p99Ms"`
@@ -126,24 +143,67 @@
 	Kinds      map[string]KindResult `json:"kinds"`
 }
 
-// Result returns what was counted so far.
+// Result returns what was counted so far, over all phases.
 func (t *Tally) Result() Result {
+	return t.result(func(kindKey) bool { return true })
+}
+
+// PhaseResult returns what was counted of the operations that began in a
+// phase. Tries and refusals are those of all phases.
+func (t *Tally) PhaseResult(phase string) Result {
+	return t.result(func(key kindKey) bool { return key.phase == phase })
+}
+
+func (t *Tally) result(wanted func(kindKey) bool) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := Result{Tries: t.tries, Refusals: t.refusal, Kinds: map[string]KindResult{}}
-	for name, k := range t.kinds {
+	sums := map[string]*kindTally{}
+	for key, k := range t.kinds {
+		if !wanted(key) {
+			continue
+		}
+		sum, ok := sums[key.name]
+		if !ok {
+			sum = newKindTally(k.idempotent)
+			sums[key.name] = sum
+		}
+		sum.merge(k)
+	}
+	out := Result{Tries: t.tries, Refusals: maps.Clone(t.refusal), Kinds: map[string]KindResult{}}
+	for name, k := range sums {
 		out.Operations += k.count
 		out.Good += k.good
-		out.Kinds[name] = KindResult{
-			Operations: k.count, Good: k.good, Failed: k.byVerdict,
-			P50Ms: millis(k.latency.ValueAtQuantile(50)),
-			P99Ms: millis(k.latency.ValueAtQuantile(99)),
-			MaxMs: millis(k.latency.Max()),
-		}
+		out.Kinds[name] = k.result()
 	}
 	return out
 }
 
+func newKindTally(idempotent bool) *kindTally {
+	return &kindTally{
+		byVerdict:  map[string]int{},
+		latency:    hdrhistogram.New(lowestMicros, highestMicros, digits),
+		idempotent: idempotent,
+	}
+}
+
+func (k *kindTally) merge(other *kindTally) {
+	k.count += other.count
+	k.good += other.good
+	for text, n := range other.byVerdict {
+		k.byVerdict[text] += n
+	}
+	k.latency.Merge(other.latency)
+}
+
+func (k *kindTally) result() KindResult {
+	return KindResult{
+		Operations: k.count, Good: k.good, Failed: k.byVerdict, Idempotent: k.idempotent,
+		P50Ms: millis(k.latency.ValueAtQuantile(50)),
+		P99Ms: millis(k.latency.ValueAtQuantile(99)),
+		MaxMs: millis(k.latency.Max()),
+	}
+}
+
 func millis(micros int64) float64 {
 	return float64(micros) / 1000
 }
