Measure overhead, control bytes and footprint

overhead compares a direct call, a plain forwarder, a local hop and a hop pair in alternating blocks over real processes. control-bytes counts sent, received and source bytes. footprint reads processor time and memory of real processes and carries the slopes on to 1,800 nodes.

--- a/bench/convergence.go
+++ b/bench/convergence.go
@@ -205,10 +205,16 @@
 	leastInterval = 500 * time.Millisecond
 )
 
+// pollInterval is the shortest that the read limit permits, but not under the
+// least.
+func pollInterval(nodes int) time.Duration {
+	return max(leastInterval, time.Duration(nodes*readsPerPoll)*time.Second/readLimit)
+}
+
 // poll measures the baseline at the same size: polling as fast as the read
 // limit permits, and every 10 s.
 func (c *converger) poll(ctx context.Context, size *convergeSize) error {
-	interval := max(leastInterval, time.Duration(size.Nodes*readsPerPoll)*time.Second/readLimit)
+	interval := pollInterval(size.Nodes)
 	c.bench.progress("%d pollers, each every %v, and as many every %v", size.Nodes, interval, slowPoll)
 	d := c.fleet.Deployment
 	fleet, err := workload.StartFleet(ctx, d, workload.FleetConfig{Logger: telemetry.Silent(), WithoutNodes: true})
--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -58,6 +58,9 @@
 	return []experiment{
 		dcMoveExperiment(),
 		convergenceExperiment(),
+		overheadExperiment(),
+		controlBytesExperiment(),
+		footprintExperiment(),
 	}
 }
 
