--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -17,6 +17,7 @@
 	"boragefall/internal/exchange"
 	"boragefall/internal/gate"
 	"boragefall/internal/host"
+	"boragefall/internal/intake"
 	"boragefall/internal/lasthop"
 	"boragefall/internal/ledger"
 	"boragefall/internal/link"
@@ -48,7 +49,7 @@
 		newMetrics, newTracing, newControlDialer, newRequestDialer,
 		control.NewClient, newPlatform, newBackend, newGate, newLedger, newNodeOwner,
 		routing.NewBook, newDirectory, newDirectoryFeed, newRegistry, newApplier, newRunner,
-		newPolicy, newHop, newDispatcher, newCallers, newStreams, newLinkListener,
+		newPolicy, newHop, newDispatcher, newAdmitter, newBodies, newCallers, newStreams, newLinkListener,
 		newNodeUpkeep, newStatusReader, newFleet, newAdmin, newStopper,
 	),
 	fx.Invoke(startLinks, startWorkers, startServers, startStopper),
@@ -138,8 +139,8 @@
 	return membership.NewRegistry(membership.Config{}, own, time.Now(), feed)
 }
 
-func newApplier(s *state, r *membership.Registry, g *gate.Gate, b *backend.Client, o *owner) *applier {
-	return &applier{state: s, registry: r, gate: g, backend: b, owner: o}
+func newApplier(s *state, r *membership.Registry, g *gate.Gate, b *backend.Client, o *owner, admitter *intake.Admitter) *applier {
+	return &applier{state: s, registry: r, gate: g, backend: b, owner: o, admitter: admitter}
 }
 
 func newRunner(s settings.Settings, self host.Listing, client *control.Client, source *platform.Client, a *applier, r *membership.Registry, logger *log.Logger) *spread.Runner {
@@ -172,10 +173,22 @@
 	maxHeaderBytes = 64 << 10
 )
 
-func newCallers(s *state, d *dispatch.Dispatcher, t *telemetry.Tracing, m *telemetry.Metrics, logger *log.Logger) callers {
+// Bounds of the memory for callers' bodies, sized for small hosts.
+const (
+	bodyBudgetBytes = 16 << 20
+	bodyWholeBytes  = 256 << 10
+)
+
+func newAdmitter() *intake.Admitter { return intake.NewAdmitter(intake.Config{}) }
+
+func newBodies() *intake.Bodies {
+	return intake.NewBodies(intake.BodyConfig{Budget: bodyBudgetBytes, MaxBuffered: bodyWholeBytes})
+}
+
+func newCallers(s *state, d *dispatch.Dispatcher, admitter *intake.Admitter, bodies *intake.Bodies, t *telemetry.Tracing, m *telemetry.Metrics, logger *log.Logger) callers {
 	handler := caller.NewHandler(caller.Config{
 		View: s.view.Load, Leaving: s.leaving, Dispatcher: d,
-		Bodies: caller.NewBodies(caller.BodiesConfig{}), Fairness: caller.Unlimited{},
+		Bodies: bodies, Admitter: admitter,
 		Tracer: t, Meter: m, Logger: logger,
 	})
 	return callers{&http.Server{
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -9,6 +9,7 @@
 	"boragefall/internal/config"
 	"boragefall/internal/gate"
 	"boragefall/internal/host"
+	"boragefall/internal/intake"
 	"boragefall/internal/membership"
 	"boragefall/internal/routing"
 )
@@ -61,6 +62,7 @@
 	gate     *gate.Gate
 	backend  *backend.Client
 	owner    *owner
+	admitter *intake.Admitter
 }
 
 // ApplyConfig swaps the configuration. The request's path sees the old one or
@@ -73,6 +75,7 @@
 		a.gate.SetService(service)
 		a.backend.SetConnections(service.Connections)
 	}
+	a.admitter.SetCallers(snapshot.Document.Callers)
 	a.registry.ApplyConfig(time.Now(), snapshot)
 	a.gate.SetLeaving(a.state.leaving())
 }
--- a/internal/retry/keyed.go
+++ b/internal/retry/keyed.go
@@ -57,7 +57,7 @@
 		return p.keyedStop(failure, why)
 	}
 	switch {
-	case failure.HostListRevision > a.HostListRevision:
+	case failure.HostListRevision > a.HostListRevision && !lostContact(failure):
 		return p.keyedNewView(failure)
 	case failure.Fenced:
 		return p.keyedNextRank(failure, a)
