--- a/internal/lasthop/keyed.go
+++ b/internal/lasthop/keyed.go
@@ -101,11 +101,14 @@
 		result := h.execute(ctx, r, claim, entry)
 		return result.answer, result.err
 	}
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
-	results := make(chan keyedResult, 1)
+	results := make(chan keyedResult)
 	go func() {
-		defer cancel()
-		results <- h.execute(detached, r, claim, entry)
+		result := h.executeDetached(ctx, r, claim, entry)
+		select {
+		case results <- result:
+		case <-ctx.Done():
+			result.discard()
+		}
 	}()
 	select {
 	case result := <-results:
@@ -115,6 +118,40 @@
 	}
 }
 
+// executeDetached runs a key until its deadline, whatever becomes of the
+// caller. An answer that is still to be read keeps its context until it is
+// closed.
+func (h *Hop) executeDetached(ctx context.Context, r *contract.Request, claim ownership.Claim, entry *ledger.Entry) keyedResult {
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	result := h.execute(detached, r, claim, entry)
+	if result.answer == nil {
+		cancel()
+		return result
+	}
+	result.answer.Body = &detachedBody{ReadCloser: result.answer.Body, cancel: cancel}
+	return result
+}
+
+// detachedBody is the answer of a run that its caller does not cancel.
+type detachedBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close ends the run's context with its answer.
+func (b *detachedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
+
+// discard closes the answer that nobody waits for.
+func (r keyedResult) discard() {
+	if r.answer != nil {
+		_ = r.answer.Body.Close()
+	}
+}
+
 // readWhole reads a short body into memory. It reports false when the body is
 // longer, and then leaves it as it was.
 func readWhole(r *contract.Request) (bool, error) {
--- /dev/null
+++ b/internal/lasthop/lasthop_test.go
@@ -0,0 +1,243 @@
+package lasthop_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"boragefall/internal/backend"
+	"boragefall/internal/config"
+	"boragefall/internal/contract"
+	"boragefall/internal/gate"
+	"boragefall/internal/host"
+	"boragefall/internal/lasthop"
+	"boragefall/internal/ledger"
+	"boragefall/internal/ownership"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/verdict"
+)
+
+func TestLastHop(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lasthop")
+}
+
+// owner answers the questions of a hop from a test's script.
+type owner struct {
+	answers []*verdict.Error // of each question in turn, the last one repeats
+	asked   atomic.Int64
+	last    bool
+}
+
+func (o *owner) MayRun(ownership.Claim, time.Time) *verdict.Error {
+	n := int(o.asked.Add(1)) - 1
+	if len(o.answers) == 0 {
+		return nil
+	}
+	return o.answers[min(n, len(o.answers)-1)]
+}
+
+func (o *owner) LastRank(ownership.Claim) bool { return o.last }
+
+type world struct {
+	hop   *lasthop.Hop
+	gate  *gate.Gate
+	owner *owner
+	runs  atomic.Int64
+	serve atomic.Pointer[http.HandlerFunc]
+}
+
+const folder = `{"services":{"orders":{"slots":4,"connections":10,"coldLimit":4}},
+	"routes":{"order":{"match":{"path":"/o"},"service":"orders"}}}`
+
+func newWorld() *world {
+	w := &world{owner: &owner{}}
+	w.on(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(rw, "ran %s", body)
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.runs.Add(1)
+		(*w.serve.Load())(rw, r)
+	}))
+	DeferCleanup(server.Close)
+	snapshot, report := config.Build(1, []config.File{{Name: "a.json", Data: []byte(folder)}})
+	Expect(report.OK()).To(BeTrue(), report.Error())
+	w.gate = gate.New(gate.Config{Service: snapshot.Document.Services["orders"]}, nil)
+	w.hop = lasthop.New(lasthop.Config{
+		Host: "h1", Service: "orders", Snapshot: func() *config.Snapshot { return snapshot },
+		Gate: w.gate, Ledger: ledger.New(ledger.Config{}, time.Now().Add(-time.Hour)), Owner: w.owner,
+		Backend: backend.NewClient(backend.Config{Address: strings.TrimPrefix(server.URL, "http://")}),
+		Tracer:  noop.NewTracerProvider().Tracer(""), Logger: telemetry.Silent(),
+	})
+	return w
+}
+
+func (w *world) on(f http.HandlerFunc) { w.serve.Store(&f) }
+
+func keyed(key, body string) *contract.Request {
+	return &contract.Request{
+		ID: "r", Method: "POST", URI: "/o", Route: "order", Service: "orders", Header: http.Header{},
+		Key: key, KeyTime: time.Now(), Digest: []byte(body), Deadline: time.Now().Add(time.Minute),
+		Body: strings.NewReader(body), ContentLength: int64(len(body)), Fences: []host.ID{"h0"},
+	}
+}
+
+func text(a *contract.Answer, err error) string {
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = a.Body.Close() }()
+	data, err := io.ReadAll(a.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+var _ = Describe("a hop", func() {
+	var w *world
+	ctx := context.Background()
+	BeforeEach(func() { w = newWorld() })
+
+	It("runs a key once and replays its answer", func() {
+		Expect(text(w.hop.Run(ctx, keyed("k", "a")))).To(Equal("ran a"))
+		Expect(text(w.hop.Run(ctx, keyed("k", "a")))).To(Equal("ran a"))
+		_, err := w.hop.Run(ctx, keyed("k", "b"))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonKeyConflict))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("joins a key that runs, and goes on when its caller leaves", func() {
+		release, running := make(chan struct{}), make(chan struct{})
+		w.on(func(rw http.ResponseWriter, _ *http.Request) {
+			close(running)
+			<-release
+			_, _ = io.WriteString(rw, "late")
+		})
+		leaving, leave := context.WithCancel(ctx)
+		var left sync.WaitGroup
+		left.Go(func() {
+			defer GinkgoRecover()
+			_, err := w.hop.Run(leaving, keyed("k", "a"))
+			Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		})
+		<-running
+		leave()
+		left.Wait()
+		joined := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			joined <- text(w.hop.Run(ctx, keyed("k", "a")))
+		}()
+		close(release)
+		Eventually(joined, "20s").Should(Receive(Equal("late")))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("never runs a key again whose server died in the run", func() {
+		w.on(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		for range 3 {
+			_, err := w.hop.Run(ctx, keyed("k", "a"))
+			Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		}
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("fences a key that it refuses, and not where no rank is left", func() {
+		w.gate.SetLeaving(true)
+		_, err := w.hop.Run(ctx, keyed("k", "a"))
+		Expect([]any{verdict.Of(err).Verdict, verdict.Of(err).Fenced}).To(Equal([]any{verdict.NotRun, true}))
+		w.owner.last = true
+		_, err = w.hop.Run(ctx, keyed("k2", "a"))
+		Expect([]any{verdict.Of(err).Verdict, verdict.Of(err).Fenced}).To(Equal([]any{verdict.NotRun, false}))
+		w.gate.SetLeaving(false)
+		_, err = w.hop.Run(ctx, keyed("k", "a"))
+		Expect(verdict.Of(err).Fenced).To(BeTrue(), "a fence holds when the gate takes work again")
+		Expect(text(w.hop.Run(ctx, keyed("k2", "a")))).To(Equal("ran a"))
+		Expect(w.runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("asks for the ownership again just before the run", func() {
+		w.owner.answers = []*verdict.Error{nil, verdict.New(verdict.MayHaveRun, verdict.ReasonNoLease, nil)}
+		_, err := w.hop.Run(ctx, keyed("k", "a"))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonNoLease))
+		Expect(w.runs.Load()).To(BeZero())
+		Expect(w.gate.Load().Running).To(BeZero(), "the slot is free again")
+	})
+
+	It("answers from the ledger without a lease", func() {
+		Expect(text(w.hop.Run(ctx, keyed("k", "a")))).To(Equal("ran a"))
+		w.owner.answers = []*verdict.Error{verdict.New(verdict.MayHaveRun, verdict.ReasonNoLease, nil)}
+		Expect(text(w.hop.Run(ctx, keyed("k", "a")))).To(Equal("ran a"))
+		_, err := w.hop.Run(ctx, keyed("new", "a"))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonNoLease))
+	})
+
+	It("says of a keyed request for a service that is gone that it may have run", func() {
+		r := keyed("k", "a")
+		r.Service = "gone"
+		_, err := w.hop.Run(ctx, r)
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		r.Key = ""
+		_, err = w.hop.Run(ctx, r)
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	})
+
+	DescribeTable("takes not-run only from a server that says so itself",
+		func(says string, idempotent bool, want *verdict.Verdict) {
+			w.on(func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set(contract.HeaderVerdict, says)
+				rw.Header().Set("Retry-After", "3")
+				rw.WriteHeader(503)
+			})
+			r := keyed("", "a")
+			r.Idempotent = idempotent
+			answer, err := w.hop.Run(ctx, r)
+			if want == nil {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Status).To(Equal(503))
+				_ = answer.Body.Close()
+				return
+			}
+			Expect(verdict.Of(err).Verdict).To(Equal(*want))
+			Expect(verdict.Of(err).RetryAfter).To(Equal(3 * time.Second))
+		},
+		Entry("it says not-run", "not-run", false, ptr(verdict.NotRun)),
+		Entry("a plain 503 of an idempotent request", "", true, ptr(verdict.MayHaveRun)),
+		Entry("a plain 503 of another request is its answer", "", false, nil),
+	)
+
+	It("passes a long answer on whole and remembers only that the key ran", func() {
+		long := strings.Repeat("x", 1<<20)
+		w.on(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, long) })
+		Expect(text(w.hop.Run(ctx, keyed("k", "a")))).To(HaveLen(1 << 20))
+		_, err := w.hop.Run(ctx, keyed("k", "a"))
+		Expect([]any{verdict.Of(err).Verdict, verdict.Of(err).Reason}).To(Equal([]any{verdict.Ran, verdict.ReasonAnswerLost}))
+	})
+
+	It("frees the slot when the caller closes an answer early", func() {
+		w.on(func(rw http.ResponseWriter, _ *http.Request) {
+			for range 1000 {
+				if _, err := io.WriteString(rw, strings.Repeat("x", 1<<12)); err != nil {
+					return
+				}
+			}
+		})
+		r := keyed("", "a")
+		answer, err := w.hop.Run(ctx, r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.gate.Load().Running).To(Equal(1))
+		Expect(answer.Body.Close()).To(Succeed())
+		Expect(w.gate.Load().Running).To(BeZero())
+	})
+})
+
+func ptr[T any](v T) *T { return &v }
