--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -57,6 +57,9 @@
 	// epoch counts the doubts about the server. Answers to requests admitted in
 	// an earlier epoch prove nothing about it.
 	epoch uint64
+	// coldEpoch is the epoch in which the server last turned cold. Faults of
+	// requests that were admitted before are part of that.
+	coldEpoch uint64
 	// probation is the number of good answers that lift the cold limit again
 	// after a doubt that is not a fault; 0 means none is wanted.
 	probation int
@@ -203,7 +206,7 @@
 func (l *limiter) shed(e evidence) {
 	l.hint.trust()
 	l.credit = 0
-	if e.epoch != l.epoch || e.sequence <= l.decreasedAt {
+	if e.epoch < l.coldEpoch || e.sequence <= l.decreasedAt {
 		return
 	}
 	l.limit = max(1, int(float64(min(l.limit, l.cfg.Service.Slots))*decreaseFactor))
@@ -222,7 +225,7 @@
 
 // refused takes in a refused connection.
 func (l *limiter) refused(e evidence) {
-	if e.epoch != l.epoch || l.down {
+	if e.epoch < l.coldEpoch || l.down {
 		return
 	}
 	l.turnCold(causeRefused)
@@ -236,6 +239,7 @@
 	l.proved, l.credit = 0, 0
 	l.probation = 0
 	l.epoch++
+	l.coldEpoch = l.epoch
 	l.hint.trust()
 	l.latency.clearVotes()
 	l.cause = cause
