gate: refuse for a deadline only when no slot is free

Cause: the wait estimate uses the mean service time of all callers; beside one caller's long requests it refused short ones although a slot was kept for them. A server that refused a connection showed as down until an answer, which never came if nobody routes to a server that is down. Change: the estimate counts only for a request that found no slot; a server shows as down for Config.DownFor (1 s) after its last refused connection and then as cold, at a limit of 1.

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -119,8 +119,8 @@
 		gate: g, request: r, account: acc, started: now, charged: g.meanSeconds(),
 		sequence: g.sequence, epoch: g.limiter.epoch, limit: g.limiter.limit,
 	}
-	if b := g.limiter.latency.class(r.Class); b.established() {
-		p.slowAt = now.Add(overdueFactor * b.slowLimit())
+	if slow := g.limiter.latency.slowLimit(r.Class); slow > 0 {
+		p.slowAt = now.Add(overdueFactor * slow)
 	}
 	g.accounts.charge(acc, p, g.queue.leastService(g.accounts.clock(now)))
 	g.running.add(p)
@@ -130,17 +130,22 @@
 	return p
 }
 
-// enqueue adds a waiter, or answers it when it can't be served in time.
+// enqueue adds a waiter.
 func (g *Gate) enqueue(w *waiter, now time.Time) {
 	if w.suspect {
 		g.enqueueSuspect(w, now)
 		return
 	}
-	if w.expired(now, g.expectedWait(w, now)+g.expectedService(w)) {
-		w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
+	g.queue.push(w)
+}
+
+// refuseLate answers a waiter that found no slot and can't be served in time.
+func (g *Gate) refuseLate(w *waiter, now time.Time) {
+	if w.answered || w.suspect || !w.expired(now, g.expectedWait(w, now)+g.expectedService(w)) {
 		return
 	}
-	g.queue.push(w)
+	g.queue.remove(w)
+	w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
 }
 
 // trim answers those for whom the queue has no room.
@@ -170,13 +175,13 @@
 
 // expectedWait estimates how long a waiter waits for its slot.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
-	rounds := g.queue.ahead(w.account, w.rank) + 1
+	rounds := g.queue.ahead(w.account, w.rank)
 	return time.Duration(rounds) * g.occupancy.get() / time.Duration(g.limiter.current(now))
 }
 
 // expectedService estimates how long a waiter's request runs; 0 if unknown.
 func (g *Gate) expectedService(w *waiter) time.Duration {
-	return g.limiter.latency.class(w.request.Class).typical()
+	return g.limiter.latency.typical(w.request.Class)
 }
 
 // dispatch starts waiting requests while there is room.
@@ -197,7 +202,6 @@
 		}
 		w.reply(admission{permit: g.start(w.request, w.account, now)})
 	}
-	g.trim(now)
 	g.setWake(now)
 }
 
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -26,6 +26,9 @@
 	// ProbationAnswers is the number of good answers that end a probation.
 	// Default 3 answers.
 	ProbationAnswers int
+	// DownFor is how long a server that refused a connection shows as down.
+	// Default 1 s.
+	DownFor time.Duration
 	// HintTTL is how long a hint lowers the limit. Default 3 s.
 	HintTTL time.Duration
 	// HintDistrust is the number of good answers in a row that make the gate
@@ -62,6 +65,7 @@
 	defaultIdleAfter        = time.Second
 	defaultPauseAfter       = time.Second
 	defaultProbationAnswers = 3
+	defaultDownFor          = time.Second
 	defaultHintTTL          = 3 * time.Second
 	defaultHintDistrust     = 20
 	defaultQuarantineFor    = 10 * time.Minute
@@ -87,6 +91,7 @@
 	fill(&c.IdleAfter, defaultIdleAfter)
 	fill(&c.PauseAfter, defaultPauseAfter)
 	fill(&c.ProbationAnswers, defaultProbationAnswers)
+	fill(&c.DownFor, defaultDownFor)
 	fill(&c.HintTTL, defaultHintTTL)
 	fill(&c.HintDistrust, defaultHintDistrust)
 	fill(&c.QuarantineFor, defaultQuarantineFor)
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -58,7 +58,7 @@
 	case OutcomeTimeout:
 		g.limiter.timeout(e)
 	case OutcomeRefused:
-		g.limiter.refused(e)
+		g.limiter.refused(e, now)
 	case OutcomeCrashed, OutcomeCanceled:
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -25,6 +26,10 @@
 type Gate struct {
 	logger *log.Logger
 	load   packedLoad
+	// downSince is when the server was last found down; downFor is
+	// Config.DownFor.
+	downSince atomic.Pointer[time.Time]
+	downFor   time.Duration
 
 	mu         sync.Mutex
 	cfg        Config
@@ -69,7 +74,9 @@
 		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife, now),
 		quarantine: newQuarantine(cfg),
 		isolation:  isolation{cfg: cfg},
+		downFor:    cfg.DownFor,
 	}
+	g.downSince.Store(&time.Time{})
 	g.publish(now)
 	return g
 }
@@ -98,6 +105,8 @@
 	}
 	g.enqueue(w, now)
 	g.dispatch(now)
+	g.refuseLate(w, now)
+	g.trim(now)
 	g.unlock(now)
 	return g.await(ctx, w)
 }
@@ -150,9 +159,14 @@
 	}
 }
 
-// Load returns how busy the server is. It takes no lock.
+// Load returns how busy the server is. It takes no lock. A server that was down
+// shows as cold again after Config.DownFor, so that somebody tries it.
 func (g *Gate) Load() Load {
-	return g.load.load()
+	l := g.load.load()
+	if l.State == host.StateDown && time.Since(*g.downSince.Load()) >= g.downFor {
+		l.State = host.StateCold
+	}
+	return l
 }
 
 // Drain waits until nothing runs or waits, or returns ErrNotDrained when ctx
@@ -236,6 +250,9 @@
 
 func (g *Gate) publish(now time.Time) {
 	state := g.limiter.state()
+	if at := g.limiter.downAt; state == host.StateDown && !at.Equal(*g.downSince.Load()) {
+		g.downSince.Store(&at)
+	}
 	if g.leaving {
 		state = host.StateLeaving
 	}
--- a/internal/gate/latency.go
+++ b/internal/gate/latency.go
@@ -47,6 +47,10 @@
 	first   []float64
 	median  float64
 	high    float64
+	// typical and slow are the median and the latency above which an answer is
+	// slow; both are 0 until the baseline is established.
+	typical time.Duration
+	slow    time.Duration
 }
 
 func (b *baseline) add(latency time.Duration) {
@@ -60,6 +64,10 @@
 	b.median += step * quantileMove(value, b.median, 0.5) * 2
 	b.high += step * quantileMove(value, b.high, highQuantile)
 	b.high = max(b.high, b.median)
+	if b.samples >= baselineSamples {
+		b.typical = seconds(math.Exp(b.median))
+		b.slow = max(medianFactor*b.typical, seconds(highFactor*math.Exp(b.high)), b.typical+minSlowdown)
+	}
 }
 
 // start takes the quantiles from the first answers.
@@ -86,26 +94,6 @@
 	}
 }
 
-// established reports whether the baseline has seen enough answers.
-func (b *baseline) established() bool {
-	return b != nil && b.samples >= baselineSamples
-}
-
-// typical returns the median latency, or 0 while unknown.
-func (b *baseline) typical() time.Duration {
-	if !b.established() {
-		return 0
-	}
-	return seconds(math.Exp(b.median))
-}
-
-// slowLimit returns the latency above which an answer is slow.
-func (b *baseline) slowLimit() time.Duration {
-	median := math.Exp(b.median)
-	limit := max(medianFactor*median, highFactor*math.Exp(b.high))
-	return max(seconds(limit), seconds(median)+minSlowdown)
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
@@ -126,22 +114,33 @@
 	return &latencies{classes: classes}
 }
 
-// class returns the baseline of a class, or nil if there is none.
-func (l *latencies) class(name string) *baseline {
-	b, _ := l.classes.Get(name)
-	return b
+// typical returns the median latency of a class, 0 while unknown.
+func (l *latencies) typical(class string) time.Duration {
+	if b, ok := l.classes.Get(class); ok {
+		return b.typical
+	}
+	return 0
+}
+
+// slowLimit returns the latency above which an answer of a class is slow, 0
+// while unknown.
+func (l *latencies) slowLimit(class string) time.Duration {
+	if b, ok := l.classes.Get(class); ok {
+		return b.slow
+	}
+	return 0
 }
 
 // observe takes in one answer's latency and reports whether it was slow.
 func (l *latencies) observe(class string, latency time.Duration) bool {
-	b := l.class(class)
-	if b == nil {
+	b, ok := l.classes.Get(class)
+	if !ok {
 		b = &baseline{}
 		l.classes.Add(class, b)
 	}
 	slow := false
-	if b.established() {
-		slow = latency > b.slowLimit()
+	if b.slow > 0 {
+		slow = latency > b.slow
 		l.vote(slow)
 	}
 	b.add(latency)
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -63,8 +63,9 @@
 	// probation is the number of good answers that lift the cold limit again
 	// after a doubt that is not a fault; 0 means none is wanted.
 	probation int
-	// down reports that the last attempt found no server.
-	down bool
+	// down reports that the last attempt found no server, at downAt.
+	down   bool
+	downAt time.Time
 	// decreasedAt is the admission sequence at the last decrease. One overload
 	// fails many requests at once and lowers the limit once.
 	decreasedAt uint64
@@ -216,20 +217,22 @@
 // timeout takes in a request that ran out of time. A deadline that was shorter
 // than the server's ordinary latency says nothing about the server.
 func (l *limiter) timeout(e evidence) {
-	b := l.latency.class(e.class)
-	if b.established() && e.latency <= b.slowLimit() {
+	if e.latency <= l.latency.slowLimit(e.class) {
 		return
 	}
 	l.shed(e)
 }
 
 // refused takes in a refused connection.
-func (l *limiter) refused(e evidence) {
-	if e.epoch < l.coldEpoch || l.down {
+func (l *limiter) refused(e evidence, now time.Time) {
+	if e.epoch < l.coldEpoch {
 		return
 	}
-	l.turnCold(causeRefused)
-	l.down = true
+	l.downAt = now
+	if !l.down {
+		l.turnCold(causeRefused)
+		l.down = true
+	}
 }
 
 // turnCold goes back to the cold limit; it has to be proved again.
