--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -57,11 +57,15 @@
 	// epoch counts the doubts about the server. Answers to requests admitted in
 	// an earlier epoch prove nothing about it.
 	epoch uint64
+	// coldEpoch is the epoch in which the server last turned cold. Faults of
+	// requests that were admitted before are part of that.
+	coldEpoch uint64
 	// probation is the number of good answers that lift the cold limit again
 	// after a doubt that is not a fault; 0 means none is wanted.
 	probation int
-	// down reports that the last attempt found no server.
-	down bool
+	// down reports that the last attempt found no server, at downAt.
+	down   bool
+	downAt time.Time
 	// decreasedAt is the admission sequence at the last decrease. One overload
 	// fails many requests at once and lowers the limit once.
 	decreasedAt uint64
@@ -199,7 +203,7 @@
 func (l *limiter) shed(e evidence) {
 	l.hint.trust()
 	l.credit = 0
-	if e.epoch != l.epoch || e.sequence <= l.decreasedAt {
+	if e.epoch < l.coldEpoch || e.sequence <= l.decreasedAt {
 		return
 	}
 	l.limit = max(1, int(float64(min(l.limit, l.cfg.Service.Slots))*decreaseFactor))
@@ -209,20 +213,22 @@
 // timeout takes in a request that ran out of time. A deadline that was shorter
 // than the server's ordinary latency says nothing about the server.
 func (l *limiter) timeout(e evidence) {
-	b := l.latency.class(e.class)
-	if b.established() && e.latency <= b.slowLimit() {
+	if e.latency <= l.latency.slowLimit(e.class) {
 		return
 	}
 	l.shed(e)
 }
 
 // refused takes in a refused connection.
-func (l *limiter) refused(e evidence) {
-	if e.epoch != l.epoch || l.down {
+func (l *limiter) refused(e evidence, now time.Time) {
+	if e.epoch < l.coldEpoch {
 		return
 	}
-	l.turnCold(causeRefused)
-	l.down = true
+	l.downAt = now
+	if !l.down {
+		l.turnCold(causeRefused)
+		l.down = true
+	}
 }
 
 // turnCold goes back to the cold limit; it has to be proved again.
@@ -232,6 +238,7 @@
 	l.proved, l.credit = 0, 0
 	l.probation = 0
 	l.epoch++
+	l.coldEpoch = l.epoch
 	l.hint.trust()
 	l.latency.clearVotes()
 	l.cause = cause
