Wait only briefly for a cold server; close idle control links soon

A request now waits 50 ms at a cold gate and then goes to the next rank. Cause 2: gossip goes to another peer each second and each link stayed open for 60 s; 200 nodes in one process used all 20,000 descriptors. Control links now close after 5 s without a stream and send no probes; a link that does not answer in time is dropped, so that a healed partition is noticed at the next heartbeat. Cause 3: a host without peers never drew its conclusions; it does each second.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -54,8 +55,12 @@
 		return err
 	}
 	defer stream.Close()
-	if err := stream.Flush(); err != nil {
-		return err
+	err = stream.Flush()
+	if err == nil {
+		err = stream.Receive(answer)
+	}
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.dialer.Drop(address)
 	}
-	return stream.Receive(answer)
+	return err
 }
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"boragefall/internal/host"
 	"boragefall/internal/verdict"
 )
 
@@ -266,9 +267,19 @@
 	g.dispatch(now)
 }
 
+// patience is how long a request waits for a slot. A cold server works off a
+// queue too slowly for its waiters; elsewhere there may
+// be room. A suspect has no other place to prove itself.
+func (g *Gate) patience(suspect bool) time.Duration {
+	if suspect || g.limiter.state() == host.StateWarm {
+		return g.cfg.MaxQueueWait
+	}
+	return min(g.cfg.ColdQueueWait, g.cfg.MaxQueueWait)
+}
+
 // await waits for a waiter's answer, its deadline or the end of ctx.
 func (g *Gate) await(ctx context.Context, w *waiter) (*Permit, error) {
-	limit := w.since.Add(g.cfg.MaxQueueWait)
+	limit := w.since.Add(w.patience)
 	reason := verdict.ReasonUnspecified
 	if !w.deadline.IsZero() && w.deadline.Before(limit) {
 		limit, reason = w.deadline, verdict.ReasonDeadline
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -13,6 +13,8 @@
 	Service config.Service
 	// MaxQueueWait bounds how long a request waits for a slot. Default 1 s.
 	MaxQueueWait time.Duration
+	// ColdQueueWait bounds the same while the server is not warm. Default 50 ms.
+	ColdQueueWait time.Duration
 	// MinRetryAfter is the least Retry-After of a refusal. Default 50 ms.
 	MinRetryAfter time.Duration
 	// MaxRetryAfter is the greatest Retry-After of a refusal. Default 5 s.
@@ -60,6 +62,7 @@
 // Defaults of Config and of config.Service.
 const (
 	defaultMaxQueueWait     = time.Second
+	defaultColdQueueWait    = 50 * time.Millisecond
 	defaultMinRetryAfter    = 50 * time.Millisecond
 	defaultMaxRetryAfter    = 5 * time.Second
 	defaultIdleAfter        = time.Second
@@ -86,6 +89,7 @@
 func (c Config) withDefaults() Config {
 	c.Service = serviceDefaults(c.Service)
 	fill(&c.MaxQueueWait, defaultMaxQueueWait)
+	fill(&c.ColdQueueWait, defaultColdQueueWait)
 	fill(&c.MinRetryAfter, defaultMinRetryAfter)
 	fill(&c.MaxRetryAfter, defaultMaxRetryAfter)
 	fill(&c.IdleAfter, defaultIdleAfter)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -101,7 +101,7 @@
 	}
 	w := &waiter{
 		request: r, rank: rankOf(r.Priority), account: acc, since: now,
-		deadline: deadline, suspect: suspect, answer: make(chan admission, 1),
+		deadline: deadline, suspect: suspect, answer: make(chan admission, 1), patience: g.patience(suspect),
 	}
 	g.enqueue(w, now)
 	g.dispatch(now)
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -138,13 +138,14 @@
 		l.probe(e)
 		return
 	}
+	if !e.full || e.limit != l.limit {
+		return // it proves no more than the load it ran under
+	}
 	if !l.warm {
 		l.warmUp()
 		return
 	}
-	if e.full && e.limit == l.limit {
-		l.raise()
-	}
+	l.raise()
 }
 
 // warmUp counts one good answer of a cold server. It bears no more than the
--- a/internal/gate/waiter.go
+++ b/internal/gate/waiter.go
@@ -9,6 +9,7 @@
 	account  *account
 	since    time.Time
 	deadline time.Time
+	patience time.Duration
 	suspect  bool
 	// answer takes the one result; its buffer keeps the gate from waiting.
 	answer   chan admission
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -11,7 +11,7 @@
 type Config struct {
 	// DialTimeout bounds the making of a link. Default 1 s.
 	DialTimeout time.Duration
-	// KeepAlive is the interval of probes on an idle link. Default 5 s.
+	// KeepAlive is the interval of probes on a link; negative is none. Default 5 s.
 	KeepAlive time.Duration
 	// WriteTimeout bounds a blocked write. Default 5 s.
 	WriteTimeout time.Duration
@@ -50,8 +50,10 @@
 func (c Config) yamux() *yamux.Config {
 	y := yamux.DefaultConfig()
 	y.AcceptBacklog = 1024
-	y.EnableKeepAlive = true
-	y.KeepAliveInterval = c.KeepAlive
+	y.EnableKeepAlive = c.KeepAlive > 0
+	if y.EnableKeepAlive {
+		y.KeepAliveInterval = c.KeepAlive
+	}
 	y.ConnectionWriteTimeout = c.WriteTimeout
 	y.StreamOpenTimeout = c.WriteTimeout
 	y.StreamCloseTimeout = c.IdleTimeout
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -69,6 +69,20 @@
 	return peer
 }
 
+// Drop closes the link to a peer that does not answer. The next stream dials
+// anew, since a connection that crossed a partition may hang for minutes.
+func (d *Dialer) Drop(address string) {
+	d.mu.Lock()
+	peer, ok := d.peers[address]
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	if session := peer.live.Load(); session != nil {
+		peer.drop(session)
+	}
+}
+
 // CloseIdle closes links that have carried no stream for the idle timeout and
 // forgets peers that were not used for as long. Call it every few seconds.
 func (d *Dialer) CloseIdle(now time.Time) {
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -96,8 +96,14 @@
 	requestDialer struct{ *link.Dialer }
 )
 
+// controlIdleTimeout closes control links soon: gossip goes to another peer
+// each time, and 1,800 open links would cost more than the dials. Heartbeats
+// every second keep theirs open, and a link that does not answer is dropped, so
+// control links need no probes of their own.
+const controlIdleTimeout = 5 * time.Second
+
 func newControlDialer(id link.Identity, c *link.Counter) (controlDialer, *link.Dialer) {
-	d := link.NewDialer(link.Config{}, link.ClassControl, id, c)
+	d := link.NewDialer(link.Config{IdleTimeout: controlIdleTimeout, KeepAlive: -1}, link.ClassControl, id, c)
 	return controlDialer{d}, d
 }
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -74,6 +74,8 @@
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	for {
+		// A host without peers draws its conclusions here as well.
+		o.machine.Heartbeat(time.Now())
 		for _, address := range o.targets() {
 			go o.ask(ctx, address)
 		}
--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -20,7 +20,7 @@
 	// probeEvery is the interval of questions to the server's own endpoints.
 	probeEvery = time.Second
 	// closeIdleEvery is the interval of the search for idle links.
-	closeIdleEvery = 10 * time.Second
+	closeIdleEvery = 2 * time.Second
 )
 
 // upkeep does what is due from time to time: views that expire, the host's own
