--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -78,27 +78,31 @@
 	return Decision{Kind: Run, Entry: e}
 }
 
-// Fence makes sure that this gate never runs a key within the horizon. The
-// refusal says Fenced when that is so; its verdict is MayHaveRun, since another
-// gate may run the key. A key that runs or ran, or one for which there is no
-// room, is not fenced.
-func (l *Ledger) Fence(scoped string, now time.Time) *verdict.Error {
-	s := l.shardOf(scoped)
+// Fence makes sure that this host neither ran a key nor runs it within the
+// horizon, and says Fenced when that is so. The verdict is MayHaveRun, since
+// another gate may run the key. It does not fence a key that runs or ran, one
+// that an earlier process of the host may have run, or one for which there is
+// no room.
+func (l *Ledger) Fence(req Request, now time.Time) *verdict.Error {
+	s := l.shardOf(req.Scoped)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := l.find(s, scoped, now); e != nil {
-		if e.running || e.outcome == OutcomeRan {
-			return unknownKey()
-		}
-		if e.outcome == OutcomeFenced {
+	if e := l.find(s, req.Scoped, now); e != nil {
+		if !e.running && e.outcome == OutcomeFenced {
 			return fencedRefusal()
 		}
 		return unknownKey()
 	}
-	e := l.insert(s, scoped)
+	if l.mayBeOlder(s, req, now) || req.Key.Ahead(now) > 0 {
+		// A key from ahead could look newer than the next process of this host,
+		// which won't know of the fence.
+		return l.refuseNew(s, req, unknownKey(), now).Refusal
+	}
+	e := l.insert(s, req.Scoped)
 	if e == nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonLedgerFull, nil)
 	}
+	e.timed = req.Key.Timed()
 	l.end(s, e, OutcomeFenced, now)
 	return fencedRefusal()
 }
@@ -123,32 +127,31 @@
 	if req.Ownership != nil {
 		return req.Ownership
 	}
-	if !req.Key.Timed() {
-		return l.untimedRefusal(s, req, now)
-	}
-	if !req.Key.Time.After(l.boot.Add(bootMargin)) || now.Sub(req.Key.Time) > l.cfg.Horizon {
+	if l.mayBeOlder(s, req, now) {
 		return unknownKey()
 	}
 	if ahead := req.Key.Ahead(now); ahead > 0 {
 		// Proof: the gate alone may run the key, it has not, and it won't now.
 		return verdict.Refuse(verdict.ReasonKeyRequired, ahead)
 	}
+	if req.RefuseUntimed && !req.Key.Timed() {
+		// Proof: the gate alone may run the key, it has not, and it won't now.
+		return verdict.Refuse(verdict.ReasonKeyRequired, 0)
+	}
 	return nil
 }
 
-func (l *Ledger) untimedRefusal(s *shard, req Request, now time.Time) *verdict.Error {
+// mayBeOlder reports whether a key that the ledger doesn't hold may have run on
+// this host before: in an earlier process, or so long ago that it was forgotten.
+func (l *Ledger) mayBeOlder(s *shard, req Request, now time.Time) bool {
+	if req.Key.Timed() {
+		return !req.Key.Time.After(l.boot.Add(bootMargin)) || now.Sub(req.Key.Time) > l.cfg.Horizon
+	}
 	since := l.boot
 	if s.untimedSince.After(since) {
 		since = s.untimedSince
 	}
-	if now.Sub(since) < req.ResendWindow {
-		return unknownKey()
-	}
-	if req.RefuseUntimed {
-		// Proof: the gate alone may run the key, it has not, and it won't now.
-		return verdict.Refuse(verdict.ReasonKeyRequired, 0)
-	}
-	return nil
+	return now.Sub(since) < req.ResendWindow
 }
 
 // refuseNew refuses a key that the ledger doesn't hold, and remembers a key
--- a/internal/ownership/floor.go
+++ b/internal/ownership/floor.go
@@ -47,6 +47,11 @@
 	if floor := m.peerFloor(); floor > m.floor {
 		m.setFloor(floor, now)
 	}
+	if m.spanOf(m.floor) == nil && m.horizonPassed(m.current(), now) {
+		// The hosts of the floor's view are unknown here, and nobody raised it.
+		m.setFloor(m.current().first, now)
+		return
+	}
 	for _, revision := range m.candidates() {
 		if m.proves(revision, now) {
 			m.setFloor(revision, now)
@@ -86,6 +91,12 @@
 	return true
 }
 
+// clean reports whether a peer can't have worked under a view later than the
+// given one, and than the floor, that this host doesn't know.
+func (m *Machine) clean(p *peer, view *span) bool {
+	return p.unbroken(max(view.first, m.floor), m.cfg.Lease, m.knows)
+}
+
 // cleanMembers counts the members, this host included, that are in contact and
 // can't have worked under a view that this host doesn't know.
 func (m *Machine) cleanMembers(view *span, now time.Time) int {
@@ -94,7 +105,7 @@
 		p := m.peers[member.id]
 		if member.id == m.self.id || m.stopped(member, now) {
 			count++
-		} else if p != nil && p.settled && m.fresh(p, now) && p.unbroken(view.first, m.cfg.Lease, m.knows) {
+		} else if p != nil && p.settled && m.fresh(p, now) && m.clean(p, view) {
 			count++
 		}
 	}
@@ -192,7 +203,7 @@
 			continue
 		}
 		acks++
-		if p.unbroken(view.first, m.cfg.Lease, m.knows) {
+		if m.clean(p, view) {
 			clean++
 		}
 	}
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		heard = append(heard, p.sent)
-		if p.unbroken(view.first, m.cfg.Lease, m.knows) {
+		if m.clean(p, view) {
 			clean = append(clean, p.sent)
 		}
 	}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -84,7 +84,9 @@
 	m.advance(now)
 }
 
-// Heartbeat returns what this host says now, asking or answering.
+// Heartbeat returns what this host says now, asking or answering. It is to be
+// called at least once a second also where there are no peers, since the floor
+// rises with time too.
 func (m *Machine) Heartbeat(now time.Time) Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
