Name types by what they are; use cmp.Or for defaults

board became candidateSet, patience retryAfter; exported names are unchanged. No test changed but for names.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -8,11 +8,11 @@
 // account is what the entry knows of one caller, or of all unlisted callers
 // together. The path of a request uses its atomics only.
 type account struct {
-	weight   atomic.Int64
-	inFlight atomic.Int64
-	seenAt   atomic.Int64 // Unix nanoseconds
-	rate     rateLimit
-	patience patience
+	weight     atomic.Int64
+	inFlight   atomic.Int64
+	seenAt     atomic.Int64 // Unix nanoseconds
+	rate       rateLimit
+	retryAfter retryAfter
 }
 
 func newAccount(weight int) *account {
--- a/internal/intake/admitter.go
+++ b/internal/intake/admitter.go
@@ -79,7 +79,7 @@
 	a.noteActive(t, nanos)
 	if !a.reserve(t, nanos) {
 		t.Done()
-		wait := t.account.patience.refused(now, a.config.RetryAfter, a.config.MaxRetryAfter)
+		wait := t.account.retryAfter.refused(now, a.config.RetryAfter, a.config.MaxRetryAfter)
 		// NotRun: the request was refused before it was sent anywhere.
 		return Ticket{}, verdict.Refuse(verdict.ReasonOverloaded, wait)
 	}
--- a/internal/intake/storm_test.go
+++ b/internal/intake/storm_test.go
@@ -25,17 +25,17 @@
 	do func()
 }
 
-// agenda is a heap of events by time.
-type agenda []event
+// eventQueue is a heap of events by time.
+type eventQueue []event
 
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	old := *a
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
 	e := old[len(old)-1]
-	*a = old[:len(old)-1]
+	*q = old[:len(old)-1]
 	return e
 }
 
@@ -45,12 +45,12 @@
 	random         *rand.Rand
 	service        time.Duration
 	now            time.Time
-	agenda         agenda
+	events         eventQueue
 	sent, admitted map[string]int
 }
 
 func (e *entry) after(d time.Duration, do func()) {
-	heap.Push(&e.agenda, event{e.now.Add(d), do})
+	heap.Push(&e.events, event{e.now.Add(d), do})
 }
 
 func (e *entry) about(mean time.Duration) time.Duration {
@@ -79,8 +79,8 @@
 
 func (e *entry) run(d time.Duration) {
 	end := e.now.Add(d)
-	for len(e.agenda) > 0 {
-		next := heap.Pop(&e.agenda).(event)
+	for len(e.events) > 0 {
+		next := heap.Pop(&e.events).(event)
 		if next.at.After(end) {
 			return
 		}
@@ -218,7 +218,7 @@
 }
 
 var _ = It("lets Retry-After grow for a caller that ignores it", func() {
-	p := &patience{}
+	p := &retryAfter{}
 	refused := func(at time.Duration) time.Duration {
 		return p.refused(start.Add(at), time.Second, 4*time.Second)
 	}
@@ -244,11 +244,11 @@
 })
 
 func BenchmarkAdmit(b *testing.B) {
-	for name, slots := range map[string]int{"crew": 1024, "unlisted": 1024, "refused": 1} {
+	for name, slots := range map[string]int{"listed": 1024, "unlisted": 1024, "refused": 1} {
 		a := NewAdmitter(Config{Rate: 1 << 30, Slots: slots})
-		a.SetCallers(map[string]config.Caller{"crew": {Weight: 1}, "refused": {Weight: 1}})
+		a.SetCallers(map[string]config.Caller{"listed": {Weight: 1}, "refused": {Weight: 1}})
 		if slots == 1 {
-			_, _ = a.Admit("crew", time.Now())
+			_, _ = a.Admit("listed", time.Now())
 		}
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -43,8 +43,8 @@
 	idempotent bool
 }
 
-// visit is one caller's request.
-type visit struct {
+// request is one caller's request.
+type request struct {
 	key      int
 	arrives  time.Duration
 	patience time.Duration
@@ -53,11 +53,11 @@
 	ended    time.Duration
 }
 
-// fleet plays the visits in virtual time and records what happened.
-type fleet struct {
+// scenario plays the requests in virtual time and records what happened.
+type scenario struct {
 	mu        sync.Mutex
-	plans     []plan
-	visits    []visit
+	works     []plan
+	requests  []request
 	running   map[int]int // runs in progress by key
 	most      map[int]int // the most at once
 	canceled  []int       // keys whose work saw its context end
@@ -65,7 +65,7 @@
 	discarded []string
 }
 
-func (f *fleet) work(key, serial int) func(context.Context) (Answer[string], error) {
+func (f *scenario) work(key, serial int) func(context.Context) (Answer[string], error) {
 	return func(ctx context.Context) (Answer[string], error) {
 		f.mu.Lock()
 		f.running[key]++
@@ -77,14 +77,14 @@
 			f.running[key]--
 		}()
 		select {
-		case <-time.After(f.plans[key].lasts):
+		case <-time.After(f.works[key].lasts):
 			value := fmt.Sprintf("%d:%d", key, serial)
-			if !f.plans[key].shared {
+			if !f.works[key].shared {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.unshared = append(f.unshared, value)
 			}
-			return Answer[string]{value, f.plans[key].shared}, nil
+			return Answer[string]{value, f.works[key].shared}, nil
 		case <-ctx.Done():
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -94,7 +94,7 @@
 	}
 }
 
-func (f *fleet) play() {
+func (f *scenario) play() {
 	g := NewGroup[int, string](Config[string]{Linger: linger, Discard: func(v string) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -102,14 +102,14 @@
 	}})
 	begin := time.Now()
 	var wg sync.WaitGroup
-	for i := range f.visits {
-		v := &f.visits[i]
+	for i := range f.requests {
+		v := &f.requests[i]
 		wg.Go(func() {
 			time.Sleep(v.arrives)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			defer time.AfterFunc(v.patience, cancel).Stop()
-			v.value, v.err = g.Do(ctx, Call[int, string]{v.key, f.plans[v.key].idempotent, f.work(v.key, i)})
+			v.value, v.err = g.Do(ctx, Call[int, string]{v.key, f.works[v.key].idempotent, f.work(v.key, i)})
 			v.ended = time.Since(begin)
 		})
 	}
@@ -117,21 +117,21 @@
 	time.Sleep(time.Hour) // lets what lingers end
 }
 
-// broken returns the first promise that a played fleet broke.
-func (f *fleet) broken() string {
+// broken returns the first promise that a played scenario broke.
+func (f *scenario) broken() string {
 	given := map[string]int{}
-	for i, v := range f.visits {
-		p := f.plans[v.key]
+	for i, v := range f.requests {
+		p := f.works[v.key]
 		left := verdict.Of(v.err) != nil && verdict.Of(v.err).Reason == verdict.ReasonCanceled
 		switch {
 		case v.err == nil && !strings.HasPrefix(v.value, fmt.Sprint(v.key, ":")):
-			return fmt.Sprintf("visit %d of key %d got %q", i, v.key, v.value)
+			return fmt.Sprintf("request %d of key %d got %q", i, v.key, v.value)
 		case left && v.ended < v.arrives+v.patience:
-			return fmt.Sprintf("visit %d was cut off", i)
+			return fmt.Sprintf("request %d was cut off", i)
 		case v.err != nil && !left && (p.shared || !errors.Is(v.err, ErrNotShared)):
-			return fmt.Sprintf("visit %d failed: %v", i, v.err)
+			return fmt.Sprintf("request %d failed: %v", i, v.err)
 		case v.ended > v.arrives+min(v.patience, p.lasts):
-			return fmt.Sprintf("visit %d ended late", i)
+			return fmt.Sprintf("request %d ended late", i)
 		case v.err == nil:
 			given[v.value]++
 		}
@@ -144,7 +144,7 @@
 			return fmt.Sprintf("unshared %q was given or discarded %d times", value, given[value])
 		}
 	}
-	for key, p := range f.plans {
+	for key, p := range f.works {
 		if !p.idempotent && (f.most[key] > 1 || slices.Contains(f.canceled, key)) {
 			return fmt.Sprintf("key %d ran twice at once or was cancelled", key)
 		}
@@ -157,12 +157,12 @@
 		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * time.Millisecond
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		f := &fleet{running: map[int]int{}, most: map[int]int{}}
+		f := &scenario{running: map[int]int{}, most: map[int]int{}}
 		for range 3 {
-			f.plans = append(f.plans, plan{ms(r, 30, "lasts"), rapid.Bool().Draw(r, "shared"), rapid.Bool().Draw(r, "idempotent")})
+			f.works = append(f.works, plan{ms(r, 30, "lasts"), rapid.Bool().Draw(r, "shared"), rapid.Bool().Draw(r, "idempotent")})
 		}
-		for range rapid.IntRange(1, 12).Draw(r, "visits") {
-			f.visits = append(f.visits, visit{
+		for range rapid.IntRange(1, 12).Draw(r, "requests") {
+			f.requests = append(f.requests, request{
 				key: rapid.IntRange(0, 2).Draw(r, "key"), arrives: ms(r, 30, "arrives"),
 				patience: ms(r, 40, "patience"),
 			})
@@ -176,14 +176,14 @@
 
 // lastLeaves counts the cancelled runs after the only waiter gave up and, when
 // again is positive, sent the same request that much later.
-func lastLeaves(t *testing.T, idempotent bool, again time.Duration) *fleet {
-	f := &fleet{
+func lastLeaves(t *testing.T, idempotent bool, again time.Duration) *scenario {
+	f := &scenario{
 		running: map[int]int{}, most: map[int]int{},
-		plans:  []plan{{100 * time.Millisecond, true, idempotent}},
-		visits: []visit{{arrives: 0, patience: 5 * time.Millisecond}},
+		works:    []plan{{100 * time.Millisecond, true, idempotent}},
+		requests: []request{{arrives: 0, patience: 5 * time.Millisecond}},
 	}
 	if again > 0 {
-		f.visits = append(f.visits, visit{arrives: 5*time.Millisecond + again, patience: time.Second})
+		f.requests = append(f.requests, request{arrives: 5*time.Millisecond + again, patience: time.Second})
 	}
 	synctest.Test(t, func(*testing.T) { f.play() })
 	return f
@@ -200,7 +200,7 @@
 func TestCallerGivesUpAndSendsAgain(t *testing.T) {
 	f := lastLeaves(t, true, linger/2)
 	NewWithT(t).Expect(f.canceled).To(BeEmpty())
-	NewWithT(t).Expect(f.visits[1].value).To(Equal("0:0")) // the first run's answer
+	NewWithT(t).Expect(f.requests[1].value).To(Equal("0:0")) // the first run's answer
 }
 
 var _ = It("answers the waiter of work that panics", func(ctx SpecContext) {
--- a/internal/retry/config.go
+++ b/internal/retry/config.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	defaultRetryPercent   = 10
@@ -45,20 +48,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.RetryPercent, defaultRetryPercent)
-	setDefault(&c.RetryBurst, defaultRetryBurst)
-	setDefault(&c.MovePercent, defaultMovePercent)
-	setDefault(&c.MoveBurst, defaultMoveBurst)
-	setDefault(&c.MaxMoves, defaultMaxMoves)
-	setDefault(&c.MaxOverloadMoves, defaultOverloadMoves)
-	setDefault(&c.MinRemaining, defaultMinRemaining)
-	setDefault(&c.RetryAfter, defaultRetryAfter)
-	setDefault(&c.HopLimit, defaultHopLimit)
+	c.RetryPercent = cmp.Or(c.RetryPercent, defaultRetryPercent)
+	c.RetryBurst = cmp.Or(c.RetryBurst, defaultRetryBurst)
+	c.MovePercent = cmp.Or(c.MovePercent, defaultMovePercent)
+	c.MoveBurst = cmp.Or(c.MoveBurst, defaultMoveBurst)
+	c.MaxMoves = cmp.Or(c.MaxMoves, defaultMaxMoves)
+	c.MaxOverloadMoves = cmp.Or(c.MaxOverloadMoves, defaultOverloadMoves)
+	c.MinRemaining = cmp.Or(c.MinRemaining, defaultMinRemaining)
+	c.RetryAfter = cmp.Or(c.RetryAfter, defaultRetryAfter)
+	c.HopLimit = cmp.Or(c.HopLimit, defaultHopLimit)
 	return c
 }
-
-func setDefault[T int | uint32 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	table := NewTable(&config.Document{Routes: routes})
-	request := MatchRequest{Method: "GET", Host: "quay.example:8080", Path: "/service77/kind6/buoys/1234/charge", Header: noHeaders}
+	request := MatchRequest{Method: "GET", Host: "api.example:8080", Path: "/service77/kind6/items/1234/state", Header: noHeaders}
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, ok := table.Match(request); !ok {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -59,9 +59,9 @@
 // when no server may be chosen; Refusal says why.
 func (p *Pool) Choose(r rand.Source, exclude []host.ID, now time.Time) (*Server, bool) {
 	for {
-		var b board
-		b.fill(p, exclude, now)
-		c := b.pick(p, r)
+		var set candidateSet
+		set.fill(p, exclude, now)
+		c := set.pick(p, r)
 		if c == nil {
 			return nil, false
 		}
--- a/internal/routing/spread_test.go
+++ b/internal/routing/spread_test.go
@@ -121,9 +121,9 @@
 	servers[0].Stats.Observe(Load{Running: 10, Limit: 10, State: host.StateWarm}, start)
 	p := NewPool(here, "me", servers, PoolConfig{})
 	for age, load := range map[time.Duration]int64{0: 10, time.Second: 5, 2 * time.Second: 0} {
-		var b board
-		b.fill(p, []host.ID{"dc0-1"}, start.Add(age))
-		g.Expect(b.candidates[0].load).To(Equal(load))
+		var set candidateSet
+		set.fill(p, []host.ID{"dc0-1"}, start.Add(age))
+		g.Expect(set.candidates[0].load).To(Equal(load))
 	}
 }
 
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -16,16 +16,16 @@
 var _ = Describe("Table", func() {
 	match := func(m config.Match) config.Route { return config.Route{Match: m} }
 	table := NewTable(&config.Document{Routes: map[string]config.Route{
-		"exact":       match(config.Match{Path: "/buoys/list"}),
-		"short":       match(config.Match{PathPrefix: "/buoys"}),
-		"long":        match(config.Match{PathPrefix: "/buoys/7/"}),
-		"long-post":   match(config.Match{PathPrefix: "/buoys/7", Methods: []string{"POST"}}),
-		"long-header": match(config.Match{PathPrefix: "/buoys/7", Headers: map[string]string{"x-crew": "a"}}),
+		"exact":       match(config.Match{Path: "/orders/list"}),
+		"short":       match(config.Match{PathPrefix: "/orders"}),
+		"long":        match(config.Match{PathPrefix: "/orders/7/"}),
+		"long-post":   match(config.Match{PathPrefix: "/orders/7", Methods: []string{"POST"}}),
+		"long-header": match(config.Match{PathPrefix: "/orders/7", Headers: map[string]string{"x-team": "a"}}),
 		"b-tie":       match(config.Match{Path: "/tie"}),
 		"a-tie":       match(config.Match{Path: "/tie"}),
-		"hosted":      match(config.Match{Host: "Quay.example", PathPrefix: "/"}),
+		"hosted":      match(config.Match{Host: "Api.example", PathPrefix: "/"}),
 	}})
-	crew := func(name string) string { return map[string]string{"X-Crew": "a"}[name] }
+	team := func(name string) string { return map[string]string{"X-Team": "a"}[name] }
 
 	DescribeTable("takes the most specific route", func(r MatchRequest, want string) {
 		route, ok := table.Match(r)
@@ -34,15 +34,15 @@
 			Expect(route.Name).To(Equal(want))
 		}
 	},
-		Entry("exact before prefix", MatchRequest{Path: "/buoys/list"}, "exact"),
-		Entry("prefix at its own end", MatchRequest{Path: "/buoys"}, "short"),
-		Entry("longer prefix first", MatchRequest{Path: "/buoys/7/charge"}, "long"),
-		Entry("prefix only at a segment", MatchRequest{Path: "/buoys/70"}, "short"),
-		Entry("no prefix inside a segment", MatchRequest{Path: "/buoysx"}, ""),
-		Entry("method before all methods", MatchRequest{Method: "POST", Path: "/buoys/7"}, "long-post"),
-		Entry("header before method", MatchRequest{Method: "POST", Path: "/buoys/7", Header: crew}, "long-header"),
+		Entry("exact before prefix", MatchRequest{Path: "/orders/list"}, "exact"),
+		Entry("prefix at its own end", MatchRequest{Path: "/orders"}, "short"),
+		Entry("longer prefix first", MatchRequest{Path: "/orders/7/charge"}, "long"),
+		Entry("prefix only at a segment", MatchRequest{Path: "/orders/70"}, "short"),
+		Entry("no prefix inside a segment", MatchRequest{Path: "/ordersx"}, ""),
+		Entry("method before all methods", MatchRequest{Method: "POST", Path: "/orders/7"}, "long-post"),
+		Entry("header before method", MatchRequest{Method: "POST", Path: "/orders/7", Header: team}, "long-header"),
 		Entry("name at a tie", MatchRequest{Path: "/tie"}, "a-tie"),
-		Entry("host before path", MatchRequest{Host: "quay.EXAMPLE:8080", Path: "/tie"}, "hosted"),
+		Entry("host before path", MatchRequest{Host: "api.EXAMPLE:8080", Path: "/tie"}, "hosted"),
 		Entry("other host", MatchRequest{Host: "[::1]", Path: "/tie"}, "a-tie"),
 		Entry("nothing", MatchRequest{Path: "/"}, ""),
 	)
