--- a/bench/util.go
+++ b/bench/util.go
@@ -6,6 +6,8 @@
 	"iter"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -27,3 +29,22 @@
 		}
 	}
 }
+
+// failedText lists failures by how they ended.
+func failedText(failed map[string]int) string {
+	if len(failed) == 0 {
+		return "-"
+	}
+	var parts []string
+	for how, n := range sorted(failed) {
+		parts = append(parts, how+" "+strconv.Itoa(n))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// addCounts adds counts to others.
+func addCounts(to, from map[string]int) {
+	for name, n := range from {
+		to[name] += n
+	}
+}
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -46,6 +46,8 @@
 	BodyBytes int
 	// Service runs the operation.
 	Service string
+	// Poison makes the request crash every server that runs it. Default false.
+	Poison bool
 }
 
 // Deployments returns the users' meshes.
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -36,6 +36,8 @@
 	// Transport replaces the entry nodes: it takes every request, whatever its
 	// host. Default none.
 	Transport http.RoundTripper
+	// Entry selects the hosts that callers send to. Default all.
+	Entry func(*Member) bool
 	// Seed makes the callers' choices repeatable. Default 1.
 	Seed uint64
 }
@@ -56,6 +58,9 @@
 	if len(c.Operations) == 0 {
 		c.Operations = f.Deployment.Operations
 	}
+	if c.Entry == nil {
+		c.Entry = func(*Member) bool { return true }
+	}
 	if c.Seed == 0 {
 		c.Seed = 1
 	}
@@ -122,6 +127,15 @@
 	l.client.CloseIdleConnections()
 }
 
+// Perform sends one operation, with a key or without, until it is answered or
+// given up.
+func (l *Load) Perform(o Operation, keyed bool) {
+	random := rand.New(rand.NewPCG(l.cfg.Seed, rand.Uint64()))
+	p := l.performance(o, random)
+	p.keyed = keyed
+	l.perform(p)
+}
+
 // Dropped returns the operations that were not started for want of room.
 func (l *Load) Dropped() int64 {
 	return l.dropped.Load()
@@ -167,7 +181,7 @@
 }
 
 func (l *Load) performance(o Operation, random *rand.Rand) *performance {
-	p := &performance{operation: o, id: uuid.NewString(), phase: l.tally.Phase(), random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
+	p := &performance{operation: o, id: o.Name + "." + uuid.NewString(), phase: l.tally.Phase(), random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
 	if !o.Idempotent && random.IntN(100) >= l.cfg.UnkeyedPercent {
 		p.keyed = true
 	}
@@ -187,8 +201,9 @@
 	offset := random.IntN(len(members))
 	fallback := ""
 	for i := range members {
-		n := members[(offset+i)%len(members)].Node()
-		if n == nil {
+		m := members[(offset+i)%len(members)]
+		n := m.Node()
+		if n == nil || !l.cfg.Entry(m) {
 			continue
 		}
 		address := n.CallersAddress()
--- a/internal/workload/perform.go
+++ b/internal/workload/perform.go
@@ -86,6 +86,9 @@
 	}
 	request.Header.Set(standin.HeaderOperation, id)
 	request.Header.Set(contract.HeaderCaller, p.operation.Caller)
+	if p.operation.Poison {
+		request.Header.Set(standin.HeaderPoison, "1")
+	}
 	if key != "" {
 		request.Header.Set(contract.HeaderKey, key)
 	}
--- a/internal/workload/promises.go
+++ b/internal/workload/promises.go
@@ -32,6 +32,16 @@
 		b.OlderVersion + b.ColdOverload + b.WorkAtLeaving
 }
 
+// Add adds the counts of another tally on the same fleet. Cold overloads and
+// work at leaving hosts are the fleet's and count once.
+func (b *Broken) Add(other Broken) {
+	b.RanTwice += other.RanTwice
+	b.ToldNotRunButRan += other.ToldNotRunButRan
+	b.AnsweredNotRun += other.AnsweredNotRun
+	b.WrongAnswer += other.WrongAnswer
+	b.OlderVersion += other.OlderVersion
+}
+
 // Absence is a time in which a data centre was out.
 type Absence struct {
 	DataCentre datacentre.ID
@@ -95,6 +105,16 @@
 	return ""
 }
 
+// ServiceOf returns the service of a host.
+func (f *Fleet) ServiceOf(id host.ID) string {
+	for _, m := range f.Members {
+		if m.Listing.ID == id {
+			return m.Listing.Service
+		}
+	}
+	return ""
+}
+
 // VersionWatch notices a node that goes back to an older version.
 type VersionWatch struct {
 	fleet *Fleet
