--- a/internal/routing/board.go
+++ b/internal/routing/board.go
@@ -28,25 +28,51 @@
 	g.capacity += capacity
 }
 
-// fill collects the candidates of the best class.
+// fill collects the candidates of the best class, without those of data
+// centres in trouble unless there are no others.
 func (b *board) fill(p *Pool, exclude []host.ID, now time.Time) {
+	var trouble troubles
 	best := classSuspect
 	nanos := now.UnixNano()
 	for i := range p.servers {
+		trouble.add(p.dataCentres[i], p.servers[i].Stats, nanos)
 		if slices.Contains(exclude, p.servers[i].Host) {
 			continue
 		}
-		c, ok := p.assess(i, nanos)
-		if !ok || c.class > best {
+		c := &b.candidates[b.n]
+		if !p.assess(i, nanos, c) || c.class > best {
 			continue
 		}
 		if c.class < best {
 			best = c.class
+			b.candidates[0] = *c
 			b.n = 0
 		}
-		b.candidates[b.n] = c
 		b.n++
 	}
+	if trouble.any {
+		if len(exclude) == 0 && p.avoidances.Add(1)%troubleTrials == 0 {
+			trouble.forgetFailures()
+		}
+		b.avoid(p, &trouble, nanos)
+	}
+}
+
+// avoid drops the candidates of data centres in trouble. When a data centre
+// leaves or dies, a sender whose view is old learns so from two hosts, and its
+// requests need not try all others there.
+func (b *board) avoid(p *Pool, t *troubles, now int64) {
+	t.settle(p, now)
+	kept := 0
+	for i := range b.candidates[:b.n] {
+		if !t.avoided(b.candidates[i].dataCentre) {
+			b.candidates[kept], b.candidates[i] = b.candidates[i], b.candidates[kept]
+			kept++
+		}
+	}
+	if kept > 0 {
+		b.n = kept
+	}
 }
 
 // reach returns how far away the choice may go: the nearest distance whose
