Bound the stall of each failure; count what a peer said before it settled

Cause: after a restart of all four hosts of a service keyed work stood for 23.6 s (virtual time): each host that settled made the others count its contact anew. Change: a peer's reports count from its boot once it is settled; its views never go back within a process.

--- a/internal/ownership/floor.go
+++ b/internal/ownership/floor.go
@@ -262,10 +262,10 @@
 	count := 0
 	for _, member := range view.members {
 		p := m.peers[member.id]
-		if p == nil || !p.settled || !m.fresh(p, now) || len(p.steps) == 0 {
+		if p == nil || !p.settled || !m.fresh(p, now) || !m.knows(p.lastStep()) {
 			continue
 		}
-		if p.sent.Sub(p.steps[0].arrived) >= m.settleTime() && m.knows(p.lastStep()) {
+		if p.sent.Sub(p.settledSince) >= m.settleTime() {
 			count++
 		}
 	}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -72,13 +72,10 @@
 	p := m.peers[h.Host]
 	switch {
 	case p == nil || h.Boot > p.boot:
-		p = &peer{boot: h.Boot, contactSince: now, settled: h.Settled}
+		p = &peer{boot: h.Boot}
 		m.peers[h.Host] = p
 	case h.Boot < p.boot || !sent.After(p.sent) || h.ViewRevision < p.lastStep().revision:
 		return // an older process, or an answer that crossed a later one
-	case h.Settled != p.settled:
-		p.settled = h.Settled
-		p.steps = nil
 	}
 	p.report(h, sent, now)
 	m.advance(now)
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -4,11 +4,13 @@
 
 // peer is what the answered heartbeats prove about another host's process.
 type peer struct {
-	boot    int64
+	boot  int64
+	floor uint64
+	// settled reports that the process counts in majorities. What it said before
+	// counts too then, since a process never takes an older view.
 	settled bool
-	floor   uint64
-	// contactSince is when the first answer of this process arrived.
-	contactSince time.Time
+	// settledSince is when the first answer that said so arrived.
+	settledSince time.Time
 	// sent is when the last answered request was sent.
 	sent time.Time
 	// steps holds the views that the process reported, oldest first.
@@ -26,6 +28,10 @@
 
 // report adds an answer. The caller has checked that it is newer than the last.
 func (p *peer) report(h Heartbeat, sent, now time.Time) {
+	if h.Settled && !p.settled {
+		p.settledSince = now
+	}
+	p.settled = h.Settled
 	p.sent = sent
 	p.floor = max(p.floor, h.Floor)
 	if n := len(p.steps); n > 0 && p.steps[n-1].revision == h.ViewRevision {
