--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -5,9 +5,21 @@
 	"math/rand/v2"
 	"time"
 
+	"boragefall/internal/host"
 	"boragefall/internal/verdict"
 )
 
+const (
+	// rankLead is how many mean requests' service time one rank is worth.
+	rankLead = 8
+	// reservedSlots is the number of slots that one caller never takes while
+	// others asked within reserveFor.
+	reservedSlots = 1
+	reserveFor    = 10 * time.Second
+	// guessedService is the service time until one was measured.
+	guessedService = 10 * time.Millisecond
+)
+
 // refusal returns why a new request is not even queued, or nil.
 func (g *Gate) refusal(ctx context.Context, r Request, deadline, now time.Time) error {
 	if g.leaving {
@@ -81,47 +93,68 @@
 	return g.running.count < g.isolation.limit(g.limiter.current(now))
 }
 
+// reserve is the number of slots that one caller leaves to the others, so that
+// its long requests can't lock them out. A cold server keeps none back: it has
+// to be proved at its whole limit.
+func (g *Gate) reserve() int {
+	if g.limiter.warm && g.limiter.limit > reservedSlots {
+		return reservedSlots
+	}
+	return 0
+}
+
+// mayStart reports whether a caller may take another slot. The reserve is kept
+// only while other callers ask.
+func (g *Gate) mayStart(acc *account, now time.Time) bool {
+	reserve := g.reserve()
+	if reserve == 0 || acc.running < g.limiter.current(now)-reserve {
+		return true
+	}
+	return !g.accounts.othersSince(acc, now.Add(-reserveFor))
+}
+
 // start gives out a permit.
 func (g *Gate) start(r Request, acc *account, now time.Time) *Permit {
 	g.sequence++
 	p := &Permit{
-		gate: g, request: r, account: acc, started: now, charged: g.occupancy.get(),
+		gate: g, request: r, account: acc, started: now, charged: g.meanSeconds(),
 		sequence: g.sequence, epoch: g.limiter.epoch, limit: g.limiter.limit,
 	}
-	if b := g.limiter.latency.class(r.Class); b.established() {
-		p.slowAt = now.Add(overdueFactor * b.slowLimit())
+	if slow := g.limiter.latency.slowLimit(r.Class); slow > 0 {
+		p.slowAt = now.Add(overdueFactor * slow)
 	}
-	g.accounts.charge(acc, p.charged)
+	g.accounts.charge(acc, p, g.queue.leastService(g.accounts.clock(now)))
 	g.running.add(p)
-	if g.running.count >= p.limit {
+	if g.running.count >= p.limit-g.reserve() {
 		g.fullSequence, g.fullLimit = p.sequence, p.limit
 	}
 	return p
 }
 
-// enqueue adds a waiter, or answers it when it can't be served in time or the
-// queue is full of others.
+// enqueue adds a waiter.
 func (g *Gate) enqueue(w *waiter, now time.Time) {
 	if w.suspect {
 		g.enqueueSuspect(w, now)
 		return
 	}
-	if w.expired(now, g.expectedWait(w, now)+g.expectedService(w)) {
-		w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
+	g.queue.push(w)
+}
+
+// refuseLate answers a waiter that found no slot and can't be served in time.
+func (g *Gate) refuseLate(w *waiter, now time.Time) {
+	if w.answered || w.suspect || !w.expired(now, g.expectedWait(w, now)+g.expectedService(w)) {
 		return
 	}
-	if g.waiting() >= g.cfg.Service.QueueLimit {
-		evicted := g.queue.victim(w)
-		if evicted == nil {
-			evicted = w
-		} else {
-			g.queue.remove(evicted)
-		}
+	g.queue.remove(w)
+	w.reply(admission{err: g.refuse(verdict.ReasonDeadline, now)})
+}
+
+// trim answers those for whom the queue has no room.
+func (g *Gate) trim(now time.Time) {
+	for g.queue.total > 0 && g.waiting() > g.cfg.Service.QueueLimit {
+		evicted := g.queue.victim(g.accounts.clock(now), g.meanSeconds())
 		evicted.reply(admission{err: g.refuse(g.busyReason(), now)})
 	}
-	if !w.answered {
-		g.queue.push(w)
-	}
 }
 
 func (g *Gate) enqueueSuspect(w *waiter, now time.Time) {
@@ -132,15 +165,24 @@
 	g.isolation.push(w)
 }
 
+// meanSeconds is the mean service time, or a guess while it is unknown, so that
+// requests count for something from the start.
+func (g *Gate) meanSeconds() float64 {
+	if g.occupancy.seconds == 0 {
+		return guessedService.Seconds()
+	}
+	return g.occupancy.seconds
+}
+
 // expectedWait estimates how long a waiter waits for its slot.
 func (g *Gate) expectedWait(w *waiter, now time.Time) time.Duration {
-	rounds := g.queue.ahead(w.account, w.rank) + 1
+	rounds := g.queue.ahead(w.account, w.rank)
 	return time.Duration(rounds) * g.occupancy.get() / time.Duration(g.limiter.current(now))
 }
 
 // expectedService estimates how long a waiter's request runs; 0 if unknown.
 func (g *Gate) expectedService(w *waiter) time.Duration {
-	return g.limiter.latency.class(w.request.Class).typical()
+	return g.limiter.latency.typical(w.request.Class)
 }
 
 // dispatch starts waiting requests while there is room.
@@ -149,8 +191,13 @@
 		return
 	}
 	g.dispatchSuspect(now)
+	may := func(acc *account) bool { return g.mayStart(acc, now) }
+	clock, lead := g.accounts.clock(now), rankLead*g.meanSeconds()
 	for g.queue.total > 0 && g.room(now) {
-		w := g.queue.pop()
+		w := g.queue.pop(clock, lead, may)
+		if w == nil {
+			break
+		}
 		if g.divert(w, now) {
 			continue
 		}
@@ -184,6 +231,7 @@
 func (g *Gate) dispatchSuspect(now time.Time) {
 	for {
 		room := g.running.count < min(g.limiter.current(now), g.cfg.Service.ColdLimit)
+		room = room && !g.suspectRuns(now)
 		w := g.isolation.next(now, room)
 		if w == nil {
 			return
@@ -219,9 +267,19 @@
 	g.dispatch(now)
 }
 
+// patience is how long a request waits for a slot. A cold server works off a
+// queue too slowly for its waiters; elsewhere there may
+// be room. A suspect has no other place to prove itself.
+func (g *Gate) patience(suspect bool) time.Duration {
+	if suspect || g.limiter.state() == host.StateWarm {
+		return g.cfg.MaxQueueWait
+	}
+	return min(g.cfg.ColdQueueWait, g.cfg.MaxQueueWait)
+}
+
 // await waits for a waiter's answer, its deadline or the end of ctx.
 func (g *Gate) await(ctx context.Context, w *waiter) (*Permit, error) {
-	limit := w.since.Add(g.cfg.MaxQueueWait)
+	limit := w.since.Add(w.patience)
 	reason := verdict.ReasonUnspecified
 	if !w.deadline.IsZero() && w.deadline.Before(limit) {
 		limit, reason = w.deadline, verdict.ReasonDeadline
@@ -265,3 +323,18 @@
 		w.reply(admission{err: g.refuse(verdict.ReasonLeaving, now)})
 	}
 }
+
+// suspectRuns reports whether a request on the server has become suspect since
+// it was admitted. It may have started after the crash, and one more crash
+// beside another suspect would convict it for nothing.
+func (g *Gate) suspectRuns(now time.Time) bool {
+	if g.quarantine.empty() {
+		return false
+	}
+	for p := g.running.head; p != nil; p = p.next {
+		if g.quarantine.suspected(p.request.Fingerprint, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -13,6 +13,8 @@
 	Service config.Service
 	// MaxQueueWait bounds how long a request waits for a slot. Default 1 s.
 	MaxQueueWait time.Duration
+	// ColdQueueWait bounds the same while the server is not warm. Default 50 ms.
+	ColdQueueWait time.Duration
 	// MinRetryAfter is the least Retry-After of a refusal. Default 50 ms.
 	MinRetryAfter time.Duration
 	// MaxRetryAfter is the greatest Retry-After of a refusal. Default 5 s.
@@ -26,6 +28,9 @@
 	// ProbationAnswers is the number of good answers that end a probation.
 	// Default 3 answers.
 	ProbationAnswers int
+	// DownFor is how long a server that refused a connection shows as down.
+	// Default 1 s.
+	DownFor time.Duration
 	// HintTTL is how long a hint lowers the limit. Default 3 s.
 	HintTTL time.Duration
 	// HintDistrust is the number of good answers in a row that make the gate
@@ -57,11 +62,13 @@
 // Defaults of Config and of config.Service.
 const (
 	defaultMaxQueueWait     = time.Second
+	defaultColdQueueWait    = 50 * time.Millisecond
 	defaultMinRetryAfter    = 50 * time.Millisecond
 	defaultMaxRetryAfter    = 5 * time.Second
 	defaultIdleAfter        = time.Second
 	defaultPauseAfter       = time.Second
 	defaultProbationAnswers = 3
+	defaultDownFor          = time.Second
 	defaultHintTTL          = 3 * time.Second
 	defaultHintDistrust     = 20
 	defaultQuarantineFor    = 10 * time.Minute
@@ -82,11 +89,13 @@
 func (c Config) withDefaults() Config {
 	c.Service = serviceDefaults(c.Service)
 	fill(&c.MaxQueueWait, defaultMaxQueueWait)
+	fill(&c.ColdQueueWait, defaultColdQueueWait)
 	fill(&c.MinRetryAfter, defaultMinRetryAfter)
 	fill(&c.MaxRetryAfter, defaultMaxRetryAfter)
 	fill(&c.IdleAfter, defaultIdleAfter)
 	fill(&c.PauseAfter, defaultPauseAfter)
 	fill(&c.ProbationAnswers, defaultProbationAnswers)
+	fill(&c.DownFor, defaultDownFor)
 	fill(&c.HintTTL, defaultHintTTL)
 	fill(&c.HintDistrust, defaultHintDistrust)
 	fill(&c.QuarantineFor, defaultQuarantineFor)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -25,6 +26,10 @@
 type Gate struct {
 	logger *log.Logger
 	load   packedLoad
+	// downSince is when the server was last found down; downFor is
+	// Config.DownFor.
+	downSince atomic.Pointer[time.Time]
+	downFor   time.Duration
 
 	mu         sync.Mutex
 	cfg        Config
@@ -42,9 +47,8 @@
 	// limiter's limit fullLimit.
 	fullSequence uint64
 	fullLimit    int
-	// crashSequence and crashedAt identify the latest crash of the server.
-	crashSequence uint64
-	crashedAt     time.Time
+	// crashedAt is when the latest crash of the server was noticed.
+	crashedAt time.Time
 	// lastEnded is when the last request ended.
 	lastEnded time.Time
 	// drained is closed when nothing runs or waits; nil if nobody asks.
@@ -62,15 +66,18 @@
 	if logger == nil {
 		logger = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	}
+	now := time.Now()
 	g := &Gate{
 		logger:     logger,
 		cfg:        cfg,
 		limiter:    newLimiter(cfg),
-		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife),
+		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife, now),
 		quarantine: newQuarantine(cfg),
 		isolation:  isolation{cfg: cfg},
+		downFor:    cfg.DownFor,
 	}
-	g.publish(time.Now())
+	g.downSince.Store(&time.Time{})
+	g.publish(now)
 	return g
 }
 
@@ -87,17 +94,19 @@
 	g.doubtIdle(now)
 	acc := g.accounts.of(r.Caller, r.Weight, now)
 	suspect := g.quarantine.suspected(r.Fingerprint, now)
-	if !suspect && g.queue.total == 0 && g.room(now) {
+	if !suspect && g.queue.total == 0 && g.room(now) && g.mayStart(acc, now) {
 		p := g.start(r, acc, now)
 		g.unlock(now)
 		return p, nil
 	}
 	w := &waiter{
 		request: r, rank: rankOf(r.Priority), account: acc, since: now,
-		deadline: deadline, suspect: suspect, answer: make(chan admission, 1),
+		deadline: deadline, suspect: suspect, answer: make(chan admission, 1), patience: g.patience(suspect),
 	}
 	g.enqueue(w, now)
 	g.dispatch(now)
+	g.refuseLate(w, now)
+	g.trim(now)
 	g.unlock(now)
 	return g.await(ctx, w)
 }
@@ -150,9 +159,14 @@
 	}
 }
 
-// Load returns how busy the server is. It takes no lock.
+// Load returns how busy the server is. It takes no lock. A server that was down
+// shows as cold again after Config.DownFor, so that somebody tries it.
 func (g *Gate) Load() Load {
-	return g.load.load()
+	l := g.load.load()
+	if l.State == host.StateDown && time.Since(*g.downSince.Load()) >= g.downFor {
+		l.State = host.StateCold
+	}
+	return l
 }
 
 // Drain waits until nothing runs or waits, or returns ErrNotDrained when ctx
@@ -236,6 +250,9 @@
 
 func (g *Gate) publish(now time.Time) {
 	state := g.limiter.state()
+	if at := g.limiter.downAt; state == host.StateDown && !at.Equal(*g.downSince.Load()) {
+		g.downSince.Store(&at)
+	}
 	if g.leaving {
 		state = host.StateLeaving
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -16,12 +16,15 @@
 	"boragefall/internal/verdict"
 )
 
-// TestMain fixes the seed of the properties unless the command line names one.
+// TestMain fixes the seed and the length of the properties unless the command
+// line names them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "100"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
@@ -79,8 +82,13 @@
 
 // warmUp raises a gate to its full limit by good answers.
 func warmUp(g *Gate) {
+	warmUpWith(g, good)
+}
+
+// warmUpWith is warmUp with one outcome for each full house.
+func warmUpWith(g *Gate, next func() Outcome) {
 	for g.Load().State != host.StateWarm || g.Load().Limit < testSlots {
-		round(g, good())
+		round(g, next())
 	}
 }
 
@@ -102,10 +110,28 @@
 		}
 		answers := 0
 		for g.Load().State != host.StateWarm {
+			Expect(g.Load().Limit).To(Equal(2), "a cold server bears no more than the cold limit")
 			answers += round(g, good())
 		}
 		Expect(answers).To(BeNumerically(">=", 20*testSlots))
-		Expect(g.Load().Limit).To(Equal(testSlots))
+		for limit := 2; limit < testSlots; limit = g.Load().Limit {
+			round(g, good())
+			Expect(g.Load().Limit).To(BeNumerically("<=", limit+1), "one step a round")
+		}
+	})
+}
+
+func TestTrickleProvesNoMoreThanItNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		g := New(testConfig(), nil)
+		for range 1000 {
+			p, err := admitNow(g, Request{Caller: "crew"})
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(testLatency)
+			p.Done(good())
+		}
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
 	})
 }
 
--- a/internal/gate/latency.go
+++ b/internal/gate/latency.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -11,10 +12,14 @@
 const (
 	// maxClasses bounds the request classes with a baseline.
 	maxClasses = 64
-	// baselineSamples is the number of answers until a baseline counts.
-	baselineSamples = 10
-	// baselineStep is the least step of a baseline, as a share of the latency.
-	baselineStep = 0.02
+	// baselineSamples is the number of answers until a baseline counts; the
+	// first ones, firstSamples, are sorted to start it.
+	baselineSamples = 50
+	firstSamples    = 20
+	// baselineStep is the least step of a baseline, as a share of the latency,
+	// and firstStep over the number of answers an early one.
+	baselineStep = 0.01
+	firstStep    = 4.0
 	// highQuantile is the quantile that bounds ordinary latency.
 	highQuantile = 0.9
 	// medianFactor and highFactor make an answer slow when its latency exceeds
@@ -27,8 +32,8 @@
 	overdueFactor = 2
 	// voteWindow is the number of latest answers that vote on slowness, and
 	// votesToAlarm the number of slow ones that raise the alarm.
-	voteWindow   = 7
-	votesToAlarm = 4
+	voteWindow   = 9
+	votesToAlarm = 5
 	// meanWeight is the weight of one answer in the mean service time.
 	meanWeight = 0.1
 )
@@ -39,21 +44,42 @@
 // Muthukrishnan and Sandler 2013).
 type baseline struct {
 	samples int
+	first   []float64
 	median  float64
 	high    float64
+	// typical and slow are the median and the latency above which an answer is
+	// slow; both are 0 until the baseline is established.
+	typical time.Duration
+	slow    time.Duration
 }
 
 func (b *baseline) add(latency time.Duration) {
 	value := math.Log(max(latency, time.Microsecond).Seconds())
 	b.samples++
-	if b.samples == 1 {
-		b.median, b.high = value, value
+	if b.samples <= firstSamples {
+		b.start(value)
 		return
 	}
-	step := max(baselineStep, 1/float64(b.samples))
+	step := max(baselineStep, firstStep/float64(b.samples))
 	b.median += step * quantileMove(value, b.median, 0.5) * 2
 	b.high += step * quantileMove(value, b.high, highQuantile)
 	b.high = max(b.high, b.median)
+	if b.samples >= baselineSamples {
+		b.typical = seconds(math.Exp(b.median))
+		b.slow = max(medianFactor*b.typical, seconds(highFactor*math.Exp(b.high)), b.typical+minSlowdown)
+	}
+}
+
+// start takes the quantiles from the first answers.
+func (b *baseline) start(value float64) {
+	b.first = append(b.first, value)
+	if len(b.first) < firstSamples {
+		return
+	}
+	slices.Sort(b.first)
+	b.median = b.first[firstSamples/2]
+	b.high = b.first[int(firstSamples*highQuantile)-1]
+	b.first = nil
 }
 
 // quantileMove returns the direction in which a quantile's estimate moves.
@@ -68,26 +94,6 @@
 	}
 }
 
-// established reports whether the baseline has seen enough answers.
-func (b *baseline) established() bool {
-	return b != nil && b.samples >= baselineSamples
-}
-
-// typical returns the median latency, or 0 while unknown.
-func (b *baseline) typical() time.Duration {
-	if !b.established() {
-		return 0
-	}
-	return seconds(math.Exp(b.median))
-}
-
-// slowLimit returns the latency above which an answer is slow.
-func (b *baseline) slowLimit() time.Duration {
-	median := math.Exp(b.median)
-	limit := max(medianFactor*median, highFactor*math.Exp(b.high))
-	return max(seconds(limit), seconds(median)+minSlowdown)
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
@@ -97,7 +103,7 @@
 // comparisons vote, so that a change in the mix of classes is no alarm.
 type latencies struct {
 	classes *simplelru.LRU[string, *baseline]
-	votes   uint8
+	votes   uint16
 }
 
 func newLatencies() *latencies {
@@ -108,22 +114,33 @@
 	return &latencies{classes: classes}
 }
 
-// class returns the baseline of a class, or nil if there is none.
-func (l *latencies) class(name string) *baseline {
-	b, _ := l.classes.Get(name)
-	return b
+// typical returns the median latency of a class, 0 while unknown.
+func (l *latencies) typical(class string) time.Duration {
+	if b, ok := l.classes.Get(class); ok {
+		return b.typical
+	}
+	return 0
+}
+
+// slowLimit returns the latency above which an answer of a class is slow, 0
+// while unknown.
+func (l *latencies) slowLimit(class string) time.Duration {
+	if b, ok := l.classes.Get(class); ok {
+		return b.slow
+	}
+	return 0
 }
 
 // observe takes in one answer's latency and reports whether it was slow.
 func (l *latencies) observe(class string, latency time.Duration) bool {
-	b := l.class(class)
-	if b == nil {
+	b, ok := l.classes.Get(class)
+	if !ok {
 		b = &baseline{}
 		l.classes.Add(class, b)
 	}
 	slow := false
-	if b.established() {
-		slow = latency > b.slowLimit()
+	if b.slow > 0 {
+		slow = latency > b.slow
 		l.vote(slow)
 	}
 	b.add(latency)
@@ -140,7 +157,7 @@
 
 // alarm reports whether most of the latest answers were slow.
 func (l *latencies) alarm() bool {
-	return bits.OnesCount8(l.votes) >= votesToAlarm
+	return bits.OnesCount16(l.votes) >= votesToAlarm
 }
 
 // clearVotes forgets the votes after an alarm or a crash.
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -50,18 +50,22 @@
 	// limit is what answers have proved, before hints and probation lower it.
 	limit int
 	warm  bool
-	// proved counts the good answers at the limit since the server was cold,
-	// and credit those at the present limit.
+	// proved counts the good answers since the server turned cold, and credit
+	// those at the present limit while it was full.
 	proved int
 	credit int
 	// epoch counts the doubts about the server. Answers to requests admitted in
 	// an earlier epoch prove nothing about it.
 	epoch uint64
+	// coldEpoch is the epoch in which the server last turned cold. Faults of
+	// requests that were admitted before are part of that.
+	coldEpoch uint64
 	// probation is the number of good answers that lift the cold limit again
 	// after a doubt that is not a fault; 0 means none is wanted.
 	probation int
-	// down reports that the last attempt found no server.
-	down bool
+	// down reports that the last attempt found no server, at downAt.
+	down   bool
+	downAt time.Time
 	// decreasedAt is the admission sequence at the last decrease. One overload
 	// fails many requests at once and lowers the limit once.
 	decreasedAt uint64
@@ -134,9 +138,21 @@
 		l.probe(e)
 		return
 	}
-	if e.full && e.limit == l.limit {
-		l.raise()
+	if !e.full || e.limit != l.limit {
+		return // it proves no more than the load it ran under
 	}
+	if !l.warm {
+		l.warmUp()
+		return
+	}
+	l.raise()
+}
+
+// warmUp counts one good answer of a cold server. It bears no more than the
+// cold limit until it has given WarmAfter of them, whatever its latency says.
+func (l *limiter) warmUp() {
+	l.proved++
+	l.warm = l.proved >= l.cfg.Service.WarmAfter
 }
 
 // answered notes that the server lives and reports whether it restarted.
@@ -164,32 +180,17 @@
 	return append(boots, bootID)
 }
 
-// raise counts one good answer at the present limit and takes a step when
-// there are enough of them.
+// raise counts one good answer at the present limit and takes a step after one
+// round of them.
 func (l *limiter) raise() {
 	l.credit++
-	l.proved++
-	if !l.warm && l.proved >= l.cfg.Service.WarmAfter {
-		l.warm = true
-	}
-	if l.credit < l.answersPerStep() {
+	if l.credit < l.limit {
 		return
 	}
 	l.credit = 0
 	l.limit = min(l.limit+1, l.cfg.Service.Slots)
 }
 
-// answersPerStep is how many good answers one step takes: a cold server
-// spreads WarmAfter over the steps to its slots, a warm one that was lowered
-// needs one round at its present limit.
-func (l *limiter) answersPerStep() int {
-	if l.warm {
-		return max(1, l.limit)
-	}
-	steps := max(1, l.cfg.Service.Slots-l.cfg.Service.ColdLimit)
-	return max(1, (l.cfg.Service.WarmAfter+steps-1)/steps)
-}
-
 // slow takes in a slow answer: no step at this limit, and perhaps an alarm.
 func (l *limiter) slow() {
 	l.credit = 0
@@ -203,7 +204,7 @@
 func (l *limiter) shed(e evidence) {
 	l.hint.trust()
 	l.credit = 0
-	if e.epoch != l.epoch || e.sequence <= l.decreasedAt {
+	if e.epoch < l.coldEpoch || e.sequence <= l.decreasedAt {
 		return
 	}
 	l.limit = max(1, int(float64(min(l.limit, l.cfg.Service.Slots))*decreaseFactor))
@@ -213,20 +214,22 @@
 // timeout takes in a request that ran out of time. A deadline that was shorter
 // than the server's ordinary latency says nothing about the server.
 func (l *limiter) timeout(e evidence) {
-	b := l.latency.class(e.class)
-	if b.established() && e.latency <= b.slowLimit() {
+	if e.latency <= l.latency.slowLimit(e.class) {
 		return
 	}
 	l.shed(e)
 }
 
 // refused takes in a refused connection.
-func (l *limiter) refused(e evidence) {
-	if e.epoch != l.epoch || l.down {
+func (l *limiter) refused(e evidence, now time.Time) {
+	if e.epoch < l.coldEpoch {
 		return
 	}
-	l.turnCold(causeRefused)
-	l.down = true
+	l.downAt = now
+	if !l.down {
+		l.turnCold(causeRefused)
+		l.down = true
+	}
 }
 
 // turnCold goes back to the cold limit; it has to be proved again.
@@ -236,6 +239,7 @@
 	l.proved, l.credit = 0, 0
 	l.probation = 0
 	l.epoch++
+	l.coldEpoch = l.epoch
 	l.hint.trust()
 	l.latency.clearVotes()
 	l.cause = cause
--- a/internal/join/join_test.go
+++ b/internal/join/join_test.go
@@ -43,8 +43,8 @@
 	idempotent bool
 }
 
-// visit is one caller's request.
-type visit struct {
+// request is one caller's request.
+type request struct {
 	key      int
 	arrives  time.Duration
 	patience time.Duration
@@ -53,18 +53,19 @@
 	ended    time.Duration
 }
 
-// fleet plays the visits in virtual time and records what happened.
-type fleet struct {
+// scenario plays the requests in virtual time and records what happened.
+type scenario struct {
 	mu        sync.Mutex
-	plans     []plan
-	visits    []visit
+	works     []plan
+	requests  []request
 	running   map[int]int // runs in progress by key
 	most      map[int]int // the most at once
 	canceled  []int       // keys whose work saw its context end
+	unshared  []string    // answers for one waiter each
 	discarded []string
 }
 
-func (f *fleet) work(key, serial int) func(context.Context) (Answer[string], error) {
+func (f *scenario) work(key, serial int) func(context.Context) (Answer[string], error) {
 	return func(ctx context.Context) (Answer[string], error) {
 		f.mu.Lock()
 		f.running[key]++
@@ -76,8 +77,14 @@
 			f.running[key]--
 		}()
 		select {
-		case <-time.After(f.plans[key].lasts):
-			return Answer[string]{fmt.Sprintf("%d:%d", key, serial), f.plans[key].shared}, nil
+		case <-time.After(f.works[key].lasts):
+			value := fmt.Sprintf("%d:%d", key, serial)
+			if !f.works[key].shared {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.unshared = append(f.unshared, value)
+			}
+			return Answer[string]{value, f.works[key].shared}, nil
 		case <-ctx.Done():
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -87,7 +94,7 @@
 	}
 }
 
-func (f *fleet) play() {
+func (f *scenario) play() {
 	g := NewGroup[int, string](Config[string]{Linger: linger, Discard: func(v string) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -95,14 +102,14 @@
 	}})
 	begin := time.Now()
 	var wg sync.WaitGroup
-	for i := range f.visits {
-		v := &f.visits[i]
+	for i := range f.requests {
+		v := &f.requests[i]
 		wg.Go(func() {
 			time.Sleep(v.arrives)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			defer time.AfterFunc(v.patience, cancel).Stop()
-			v.value, v.err = g.Do(ctx, Call[int, string]{v.key, f.plans[v.key].idempotent, f.work(v.key, i)})
+			v.value, v.err = g.Do(ctx, Call[int, string]{v.key, f.works[v.key].idempotent, f.work(v.key, i)})
 			v.ended = time.Since(begin)
 		})
 	}
@@ -110,32 +117,34 @@
 	time.Sleep(time.Hour) // lets what lingers end
 }
 
-// broken returns the first promise that a played fleet broke.
-func (f *fleet) broken() string {
+// broken returns the first promise that a played scenario broke.
+func (f *scenario) broken() string {
 	given := map[string]int{}
-	for i, v := range f.visits {
-		p := f.plans[v.key]
+	for i, v := range f.requests {
+		p := f.works[v.key]
 		left := verdict.Of(v.err) != nil && verdict.Of(v.err).Reason == verdict.ReasonCanceled
 		switch {
 		case v.err == nil && !strings.HasPrefix(v.value, fmt.Sprint(v.key, ":")):
-			return fmt.Sprintf("visit %d of key %d got %q", i, v.key, v.value)
+			return fmt.Sprintf("request %d of key %d got %q", i, v.key, v.value)
 		case left && v.ended < v.arrives+v.patience:
-			return fmt.Sprintf("visit %d was cut off", i)
+			return fmt.Sprintf("request %d was cut off", i)
 		case v.err != nil && !left && (p.shared || !errors.Is(v.err, ErrNotShared)):
-			return fmt.Sprintf("visit %d failed: %v", i, v.err)
+			return fmt.Sprintf("request %d failed: %v", i, v.err)
 		case v.ended > v.arrives+min(v.patience, p.lasts):
-			return fmt.Sprintf("visit %d ended late", i)
+			return fmt.Sprintf("request %d ended late", i)
 		case v.err == nil:
 			given[v.value]++
 		}
 	}
-	for value, n := range given {
-		key := int(value[0] - '0')
-		if !f.plans[key].shared && n+strings.Count(strings.Join(f.discarded, " "), value) > 1 {
-			return fmt.Sprintf("unshared %q went to %d", value, n)
+	for _, value := range f.discarded {
+		given[value]++
+	}
+	for _, value := range f.unshared {
+		if given[value] != 1 {
+			return fmt.Sprintf("unshared %q was given or discarded %d times", value, given[value])
 		}
 	}
-	for key, p := range f.plans {
+	for key, p := range f.works {
 		if !p.idempotent && (f.most[key] > 1 || slices.Contains(f.canceled, key)) {
 			return fmt.Sprintf("key %d ran twice at once or was cancelled", key)
 		}
@@ -145,18 +154,17 @@
 
 func TestEachWaiterGetsOneWholeAnswerOfItsOwnKey(t *testing.T) {
 	ms := func(r *rapid.T, most int, label string) time.Duration {
-		// Odd and even offsets keep ends of work and of patience apart.
-		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * 2 * time.Millisecond
+		return time.Duration(rapid.IntRange(1, most).Draw(r, label)) * time.Millisecond
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		f := &fleet{running: map[int]int{}, most: map[int]int{}}
+		f := &scenario{running: map[int]int{}, most: map[int]int{}}
 		for range 3 {
-			f.plans = append(f.plans, plan{ms(r, 30, "lasts"), rapid.Bool().Draw(r, "shared"), rapid.Bool().Draw(r, "idempotent")})
+			f.works = append(f.works, plan{ms(r, 30, "lasts"), rapid.Bool().Draw(r, "shared"), rapid.Bool().Draw(r, "idempotent")})
 		}
-		for range rapid.IntRange(1, 12).Draw(r, "visits") {
-			f.visits = append(f.visits, visit{
+		for range rapid.IntRange(1, 12).Draw(r, "requests") {
+			f.requests = append(f.requests, request{
 				key: rapid.IntRange(0, 2).Draw(r, "key"), arrives: ms(r, 30, "arrives"),
-				patience: ms(r, 40, "patience") + time.Millisecond,
+				patience: ms(r, 40, "patience"),
 			})
 		}
 		synctest.Test(t, func(*testing.T) { f.play() })
@@ -168,14 +176,14 @@
 
 // lastLeaves counts the cancelled runs after the only waiter gave up and, when
 // again is positive, sent the same request that much later.
-func lastLeaves(t *testing.T, idempotent bool, again time.Duration) *fleet {
-	f := &fleet{
+func lastLeaves(t *testing.T, idempotent bool, again time.Duration) *scenario {
+	f := &scenario{
 		running: map[int]int{}, most: map[int]int{},
-		plans:  []plan{{100 * time.Millisecond, true, idempotent}},
-		visits: []visit{{arrives: 0, patience: 5 * time.Millisecond}},
+		works:    []plan{{100 * time.Millisecond, true, idempotent}},
+		requests: []request{{arrives: 0, patience: 5 * time.Millisecond}},
 	}
 	if again > 0 {
-		f.visits = append(f.visits, visit{arrives: 5*time.Millisecond + again, patience: time.Second})
+		f.requests = append(f.requests, request{arrives: 5*time.Millisecond + again, patience: time.Second})
 	}
 	synctest.Test(t, func(*testing.T) { f.play() })
 	return f
@@ -192,15 +200,25 @@
 func TestCallerGivesUpAndSendsAgain(t *testing.T) {
 	f := lastLeaves(t, true, linger/2)
 	NewWithT(t).Expect(f.canceled).To(BeEmpty())
-	NewWithT(t).Expect(f.visits[1].value).To(Equal("0:0")) // the first run's answer
+	NewWithT(t).Expect(f.requests[1].value).To(Equal("0:0")) // the first run's answer
 }
 
-func TestPanickingWorkAnswersEveryWaiter(t *testing.T) {
+var _ = It("answers the waiter of work that panics", func(ctx SpecContext) {
 	g := NewGroup[int, string](Config[string]{})
-	_, err := g.Do(t.Context(), Call[int, string]{Work: func(context.Context) (Answer[string], error) { panic("x") }})
-	NewWithT(t).Expect(err).To(MatchError(ErrPanicked))
-	NewWithT(t).Expect(g.flights.Load()).To(BeZero())
-}
+	_, err := g.Do(ctx, Call[int, string]{Work: func(context.Context) (Answer[string], error) { panic("x") }})
+	Expect(err).To(MatchError(ErrPanicked))
+	Expect(g.flights.Load()).To(BeZero())
+})
+
+var _ = It("discards an unshared answer whose only waiter leaves as it comes", func(ctx SpecContext) {
+	var discarded []string
+	g := NewGroup[int, string](Config[string]{Discard: func(v string) { discarded = append(discarded, v) }})
+	f, _ := newFlight[string](ctx)
+	f.waiters, f.finished, f.answer.Value = 1, true, "a"
+	_, err := g.leave(ctx, &g.shards[0], f, Call[int, string]{})
+	Expect(err).To(HaveOccurred())
+	Expect(discarded).To(Equal([]string{"a"}))
+})
 
 func TestTooManyWaitersAreRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
