Bound what the spread and the membership remember of hosts that are gone

Cause: hosts come and go for as long as a process lives, and contacts of hosts without a record, and suspicions of addresses nobody asked about again, stayed. An empty host list, which can only be a fault of the source, was accepted.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -85,6 +85,16 @@
 	c.byHost.Delete(id)
 }
 
+// keep drops what is known of all hosts but some.
+func (c *contacts) keep(some func(host.ID) bool) {
+	c.byHost.Range(func(id, _ any) bool {
+		if !some(id.(host.ID)) {
+			c.byHost.Delete(id)
+		}
+		return true
+	})
+}
+
 // clear drops everything.
 func (c *contacts) clear() {
 	c.byHost.Clear()
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -86,10 +86,18 @@
 		r.list = list
 		r.listChanged = now
 		r.records.relist(r.listed, now)
+		r.contacts.keep(func(id host.ID) bool { return r.listed(id) || r.hasUnlisted(id) })
 		return true
 	})
 }
 
+// hasUnlisted reports whether there is a record of a host that the list does
+// not name.
+func (r *Registry) hasUnlisted(id host.ID) bool {
+	e, ok := r.records.byHost[id]
+	return ok && !e.listed
+}
+
 // ApplyConfig takes the marks of a new configuration.
 func (r *Registry) ApplyConfig(now time.Time, snapshot *config.Snapshot) {
 	r.change(now, func() bool {
@@ -100,9 +108,12 @@
 
 // ObserveContact notes that a host answered this node.
 func (r *Registry) ObserveContact(id host.ID, now time.Time) {
-	_, known := r.View().Find(id)
-	if r.contacts.good(id, now) || !known {
+	if r.contacts.good(id, now) {
 		r.change(now, func() bool { return true })
+		return
+	}
+	if _, member := r.View().Find(id); !member {
+		r.change(now, func() bool { return r.hasUnlisted(id) })
 	}
 }
 
--- a/internal/spread/hostlist.go
+++ b/internal/spread/hostlist.go
@@ -42,6 +42,10 @@
 	if list.Revision != revision {
 		return nil, eris.Wrapf(ErrBadHostList, "revision %d, want %d", list.Revision, revision)
 	}
+	if len(list.Hosts) == 0 {
+		// A fleet without hosts has no use for a list; this is a fault.
+		return nil, eris.Wrap(ErrBadHostList, "no host")
+	}
 	list.Sort()
 	if err := checkListings(list.Hosts); err != nil {
 		return nil, err
--- a/internal/spread/machine.go
+++ b/internal/spread/machine.go
@@ -29,6 +29,7 @@
 
 	documents [len(kinds)]*document
 	peers     *peers
+	listed    []host.Listing // hosts of the list in force
 	extra     []host.Listing // hosts known besides the list
 	budget    *Budget
 	boot      boot
@@ -113,7 +114,7 @@
 	m.counters.Applied++
 	m.emit(Apply{Bundle: b, Accepted: accepted})
 	if accepted.List != nil {
-		m.source.listed = accepted.List.Hosts
+		m.listed = accepted.List.Hosts
 		m.setPeers()
 	}
 	m.push.start(now)
@@ -129,7 +130,7 @@
 }
 
 func (m *Machine) setPeers() {
-	m.peers.set(append(append([]host.Listing(nil), m.source.listed...), m.extra...))
+	m.peers.set(append(append([]host.Listing(nil), m.listed...), m.extra...))
 }
 
 func (m *Machine) checkPulls(now time.Time) {
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -77,6 +78,7 @@
 }
 
 func (p *peers) failed(now time.Time, address string) {
+	maps.DeleteFunc(p.suspects, func(_ string, until time.Time) bool { return !now.Before(until) })
 	p.suspects[address] = now.Add(suspectFor)
 }
 
--- a/internal/spread/source.go
+++ b/internal/spread/source.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"boragefall/internal/config"
-	"boragefall/internal/host"
 	"boragefall/internal/platform"
 	"boragefall/internal/wire"
 )
@@ -68,7 +67,6 @@
 	cycle     bool // the read under way is a standby's: both documents in turn
 	nextCycle time.Time
 	stepWait  time.Duration // jitter of the next step-up
-	listed    []host.Listing
 }
 
 func newSource(cfg Config, now time.Time) source {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -301,9 +301,10 @@
 			_, err := CutHostList(7, []config.File{{Name: "hosts.json", Data: []byte(data)}})
 			Expect(errors.Is(err, ErrBadHostList)).To(BeTrue())
 		},
-		Entry("unknown field", `{"revision":7,"hosts":[],"more":1}`),
-		Entry("another revision", `{"revision":8,"hosts":[]}`),
-		Entry("bytes after it", `{"revision":7,"hosts":[]} {}`),
+		Entry("unknown field", `{"revision":7,"hosts":[{"id":"a","address":"10.0.0.1:1"}],"more":1}`),
+		Entry("another revision", `{"revision":8,"hosts":[{"id":"a","address":"10.0.0.1:1"}]}`),
+		Entry("bytes after it", `{"revision":7,"hosts":[{"id":"a","address":"10.0.0.1:1"}]} {}`),
+		Entry("no host", `{"revision":7,"hosts":[]}`),
 		Entry("a host twice", `{"revision":7,"hosts":[{"id":"a","address":"10.0.0.1:1"},{"id":"a","address":"10.0.0.2:1"}]}`),
 		Entry("a name for an address", `{"revision":7,"hosts":[{"id":"a","address":"example:1"}]}`),
 	)
