Add restart-herd, source-outage and partition; keep ports of restarts free

A cut in front of the link listeners parts nodes in one process: bytes between the parts wait until the parts are joined. Ports now come from below the range of outgoing connections: a node of footprint failed to listen on a port that a connection had taken.

--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -64,6 +64,9 @@
 		coldStartExperiment(),
 		retryStormExperiment(),
 		poisonExperiment(),
+		restartHerdExperiment(),
+		sourceOutageExperiment(),
+		partitionExperiment(),
 	}
 }
 
--- a/bench/process/fleet.go
+++ b/bench/process/fleet.go
@@ -90,12 +90,10 @@
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, n)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "find a free address")
+		var err error
+		if addresses[i], err = workload.FreeAddress(); err != nil {
+			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
 	}
 	return addresses, nil
 }
--- a/bench/side.go
+++ b/bench/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -140,9 +141,23 @@
 	}
 }
 
+// gates sums up what the nodes say of the servers beside them.
+func (s *side) gates() string {
+	states := map[string]int{}
+	var running, queued, limit int
+	for _, m := range s.fleet.Running() {
+		gate := m.Node().Status().Gate
+		states[gate.State]++
+		running += gate.Running
+		queued += gate.Queued
+		limit += gate.Limit
+	}
+	return fmt.Sprintf("gates %v, limit %d, running %d, queued %d", states, limit, running, queued)
+}
+
 // enter begins a phase.
 func (s *side) enter(phase string) {
-	s.bench.progress("%s: phase %s", s.name(), phase)
+	s.bench.progress("%s: %s: phase %s", s.name(), s.gates(), phase)
 	s.tally.Enter(phase)
 }
 
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -41,6 +41,8 @@
 	// TuneServer changes the configuration of each backend server before its
 	// start. Default none.
 	TuneServer func(*standin.ServerConfig)
+	// Cut lets the links between nodes be parted. Default none.
+	Cut *Cut
 	// Tune changes the settings of each node before its start. Default none.
 	Tune func(*settings.Settings)
 }
@@ -132,8 +134,12 @@
 func (f *Fleet) addMember(size ServiceSize, i int) error {
 	centre := f.Deployment.centre(i)
 	id := host.ID(fmt.Sprintf("%s-%s-%d", centre, size.Name, i+1))
+	address, err := FreeAddress()
+	if err != nil {
+		return err
+	}
 	cfg := standin.ServerConfig{
-		Host: id, Slots: size.Slots, Connections: size.Connections,
+		Host: id, Listen: address, Slots: size.Slots, Connections: size.Connections,
 		ColdLimit: size.ColdLimit, WorkTime: size.WorkTime, StartWarm: f.cfg.StartWarm,
 	}
 	if f.cfg.TuneServer != nil {
@@ -185,9 +191,9 @@
 func openListeners() (node.Listeners, error) {
 	var opened [3]net.Listener
 	for i := range opened {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := Listen()
 		if err != nil {
-			return node.Listeners{}, eris.Wrap(err, "find a free address")
+			return node.Listeners{}, err
 		}
 		opened[i] = listener
 	}
--- a/internal/workload/member.go
+++ b/internal/workload/member.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"boragefall/internal/host"
 	"boragefall/internal/node"
 	"boragefall/internal/settings"
@@ -32,7 +35,11 @@
 func (f *Fleet) StartNode(ctx context.Context, m *Member) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n, err := node.Start(ctx, m.settings, node.Options{Logger: f.cfg.Logger, Listeners: m.sockets})
+	sockets, err := f.socketsOf(m)
+	if err != nil {
+		return err
+	}
+	n, err := node.Start(ctx, m.settings, node.Options{Logger: f.cfg.Logger, Listeners: sockets})
 	if err != nil {
 		return err
 	}
@@ -41,6 +48,33 @@
 	return nil
 }
 
+// socketsOf returns the sockets for a node's start; with a cut, the link's is
+// behind it.
+func (f *Fleet) socketsOf(m *Member) (node.Listeners, error) {
+	sockets := m.sockets
+	if f.cfg.Cut == nil {
+		return sockets, nil
+	}
+	if sockets.Link == nil {
+		listener, err := net.Listen("tcp", m.settings.LinkListen)
+		if err != nil {
+			return sockets, eris.Wrap(err, "listen")
+		}
+		sockets.Link = listener
+	}
+	sockets.Link = f.cfg.Cut.listener(sockets.Link, m.Listing.ID, f.names)
+	return sockets, nil
+}
+
+// names returns the names of all hosts.
+func (f *Fleet) names() []host.ID {
+	names := make([]host.ID, 0, len(f.Members))
+	for _, m := range f.Members {
+		names = append(names, m.Listing.ID)
+	}
+	return names
+}
+
 // StopNode is a planned stop of a member's node.
 func (f *Fleet) StopNode(ctx context.Context, m *Member) error {
 	m.mu.Lock()
--- a/internal/workload/promises.go
+++ b/internal/workload/promises.go
@@ -75,7 +75,7 @@
 	for _, run := range f.Record.Runs() {
 		for _, a := range absences {
 			late := run.At.After(a.From.Add(LeavingBound)) && run.At.Before(a.To)
-			if late && f.centreOf(run.Host) == a.DataCentre {
+			if late && f.CentreOf(run.Host) == a.DataCentre {
 				count++
 			}
 		}
@@ -88,15 +88,15 @@
 	var last time.Duration
 	for _, run := range f.Record.Runs() {
 		inside := run.At.After(a.From) && run.At.Before(a.To)
-		if inside && f.centreOf(run.Host) == a.DataCentre {
+		if inside && f.CentreOf(run.Host) == a.DataCentre {
 			last = max(last, run.At.Sub(a.From))
 		}
 	}
 	return last
 }
 
-// centreOf returns the data centre of a host.
-func (f *Fleet) centreOf(id host.ID) datacentre.ID {
+// CentreOf returns the data centre of a host.
+func (f *Fleet) CentreOf(id host.ID) datacentre.ID {
 	for _, m := range f.Members {
 		if m.Listing.ID == id {
 			return m.Listing.Place.DataCentre
