--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -72,19 +72,18 @@
 	p := m.peers[h.Host]
 	switch {
 	case p == nil || h.Boot > p.boot:
-		p = &peer{boot: h.Boot, contactSince: now, settled: h.Settled}
+		p = &peer{boot: h.Boot}
 		m.peers[h.Host] = p
 	case h.Boot < p.boot || !sent.After(p.sent) || h.ViewRevision < p.lastStep().revision:
 		return // an older process, or an answer that crossed a later one
-	case h.Settled != p.settled:
-		p.settled = h.Settled
-		p.steps = nil
 	}
 	p.report(h, sent, now)
 	m.advance(now)
 }
 
-// Heartbeat returns what this host says now, asking or answering.
+// Heartbeat returns what this host says now, asking or answering. It is to be
+// called at least once a second also where there are no peers, since the floor
+// rises with time too.
 func (m *Machine) Heartbeat(now time.Time) Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
