Put a warm server's limit back at the first alarm, take it for cold at the second

A hiccup that hits all running requests at once votes like a cold server. Change: the first alarm puts the limit back to the cold limit at once, and it rises one slot a round; a second alarm before it is back means cold. Ruled out: the limiter's decrease on sheds (none in the log).

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -88,7 +88,7 @@
 // room reports whether a request that is not suspect may start now.
 func (g *Gate) room(now time.Time) bool {
 	if g.running.overdue(now, g.limiter.epoch) {
-		g.limiter.turnCold(causeOverdue)
+		g.limiter.alarmed(causeOverdue)
 	}
 	return g.running.count < g.isolation.limit(g.limiter.current(now))
 }
--- a/internal/gate/limiter.go
+++ b/internal/gate/limiter.go
@@ -63,6 +63,9 @@
 	// probation is the number of good answers that lift the cold limit again
 	// after a doubt that is not a fault; 0 means none is wanted.
 	probation int
+	// recovering reports that the limit was put back by an alarm and has not
+	// risen to the slots since.
+	recovering bool
 	// down reports that the last attempt found no server, at downAt.
 	down   bool
 	downAt time.Time
@@ -104,7 +107,7 @@
 	switch {
 	case l.down:
 		return host.StateDown
-	case l.warm && l.probation == 0:
+	case l.warm && l.probation == 0 && !l.recovering:
 		return host.StateWarm
 	default:
 		return host.StateCold
@@ -189,6 +192,7 @@
 	}
 	l.credit = 0
 	l.limit = min(l.limit+1, l.cfg.Service.Slots)
+	l.recovering = l.recovering && l.limit < l.cfg.Service.Slots
 }
 
 // slow takes in a slow answer: no step at this limit, and perhaps an alarm.
@@ -196,10 +200,27 @@
 	l.credit = 0
 	l.hint.trust()
 	if l.latency.alarm() {
-		l.turnCold(causeSlow)
+		l.alarmed(causeSlow)
 	}
 }
 
+// alarmed takes in a sign that the server may have turned cold. A hiccup that
+// hits all running requests looks the same, so the first alarm of a warm server
+// only puts the limit back: it rises one slot a round, and a second alarm on
+// the way, when the load is still small, means that the server is cold.
+func (l *limiter) alarmed(cause string) {
+	if !l.warm || l.recovering || l.limit <= l.cfg.Service.ColdLimit {
+		l.turnCold(cause)
+		return
+	}
+	l.limit = l.cfg.Service.ColdLimit
+	l.credit = 0
+	l.recovering = true
+	l.epoch++
+	l.latency.clearVotes()
+	l.cause = cause
+}
+
 // shed takes in an overload: the server said so, or work timed out on it.
 func (l *limiter) shed(e evidence) {
 	l.hint.trust()
@@ -236,6 +257,7 @@
 func (l *limiter) turnCold(cause string) {
 	l.limit = min(l.limit, l.cfg.Service.ColdLimit)
 	l.warm = false
+	l.recovering = false
 	l.proved, l.credit = 0, 0
 	l.probation = 0
 	l.epoch++
