Tell the service's gates of a crash at once; excuse requests that ran well

Change: a request that ran well is excused for one crash and has to run well again for the next. One that turned bad is found one crash later. Cause 2: a caller re-sent a poison lookup through other entries before the quarantine had spread, and it crashed 5 servers. Change: a gate tells the other gates of its service of the suspects with a heartbeat at once after a crash. Tests: popular request, one that turned bad, convicted elsewhere, news of a crash.

--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -42,6 +42,9 @@
 	// QuarantineSize bounds the convicted fingerprints, and apart from them the
 	// suspect ones. Default 1024 fingerprints.
 	QuarantineSize int
+	// TrustSize bounds the fingerprints that are remembered as having run well.
+	// Default 4096 fingerprints.
+	TrustSize int
 	// SuspectHold bounds how long other requests are held back so that a
 	// suspect can start. Default 250 ms.
 	SuspectHold time.Duration
@@ -73,6 +76,7 @@
 	defaultHintDistrust     = 20
 	defaultQuarantineFor    = 10 * time.Minute
 	defaultQuarantineSize   = 1024
+	defaultTrustSize        = 4096
 	defaultSuspectHold      = 250 * time.Millisecond
 	defaultSuspectAlone     = time.Second
 	defaultAbandonedFor     = 2 * time.Second
@@ -100,6 +104,7 @@
 	fill(&c.HintDistrust, defaultHintDistrust)
 	fill(&c.QuarantineFor, defaultQuarantineFor)
 	fill(&c.QuarantineSize, defaultQuarantineSize)
+	fill(&c.TrustSize, defaultTrustSize)
 	fill(&c.SuspectHold, defaultSuspectHold)
 	fill(&c.SuspectAlone, defaultSuspectAlone)
 	fill(&c.AbandonedFor, defaultAbandonedFor)
--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -239,6 +239,30 @@
 	})
 }
 
+func TestCrashIsToldToTheOtherGates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		first, second := New(testConfig(), nil), New(testConfig(), nil)
+		p, err := admitNow(first, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(first.Crashes()).To(Receive())
+		for _, fp := range first.Suspects() {
+			second.Suspect(fp, time.Now())
+		}
+		p, err = admitNow(second, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(second.Crashes()).To(Receive())
+		Expect(second.Quarantine()).To(ConsistOf(uint64(7)), "two crashes in the service, one at each gate")
+		for _, fp := range second.Quarantine() {
+			first.Convict(fp, time.Now())
+		}
+		_, err = admitNow(first, Request{Fingerprint: 7})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+	})
+}
+
 func TestSuspectDoesNotStarveOthers(t *testing.T) {
 	warmGate(t, func(g *Gate) {
 		const suspectFP, busy, span = 5, 9, 20 * time.Second
--- a/internal/gate/finish.go
+++ b/internal/gate/finish.go
@@ -67,7 +67,7 @@
 func (g *Gate) judge(p *Permit, o Outcome, now time.Time) {
 	switch o.Kind {
 	case OutcomeGood, OutcomeError:
-		g.quarantine.ranWell(p.request.Fingerprint)
+		g.quarantine.ranWell(p.request.Fingerprint, now)
 	case OutcomeCanceled, OutcomeTimeout:
 		g.quarantine.abandon(p.request.Fingerprint, now)
 	case OutcomeCrashed:
@@ -84,6 +84,7 @@
 	}
 	g.crashedAt = now
 	g.limiter.turnCold(causeCrash)
+	defer g.tellCrash()
 	for _, fp := range g.onServer(p, now) {
 		if g.quarantine.crashed(fp, now) {
 			g.logger.Warn().Str("part", "gate").Uint64("fingerprint", fp).Msg("request quarantined after crashes")
@@ -105,3 +106,11 @@
 	slices.Sort(fingerprints)
 	return slices.Compact(fingerprints)
 }
+
+// tellCrash signals that the suspects or the convicted changed.
+func (g *Gate) tellCrash() {
+	select {
+	case g.crashes <- struct{}{}:
+	default: // a signal is waiting already
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,6 +38,7 @@
 	accounts   *accounts
 	quarantine *quarantine
 	isolation  isolation
+	crashes    chan struct{}
 	running    runningList
 	occupancy  meanTime
 	leaving    bool
@@ -74,6 +75,7 @@
 		accounts:   newAccounts(cfg.Callers, cfg.ShareHalfLife, now),
 		quarantine: newQuarantine(cfg),
 		isolation:  isolation{cfg: cfg},
+		crashes:    make(chan struct{}, 1),
 		downFor:    cfg.DownFor,
 	}
 	g.downSince.Store(&time.Time{})
@@ -202,6 +204,12 @@
 	g.quarantine.heard(fp, now)
 }
 
+// Crashes signals after each crash of the server, so that the other gates of
+// the service can be told of the suspects before a caller sends them again.
+func (g *Gate) Crashes() <-chan struct{} {
+	return g.crashes
+}
+
 // Suspects returns the fingerprints that were on the server when it crashed
 // and have not run well since.
 func (g *Gate) Suspects() []uint64 {
--- a/internal/gate/parts_test.go
+++ b/internal/gate/parts_test.go
@@ -16,7 +16,7 @@
 		now time.Time
 	)
 	BeforeEach(func() {
-		q = newQuarantine(Config{QuarantineSize: 2, QuarantineFor: time.Minute, AbandonedFor: time.Second})
+		q = newQuarantine(Config{QuarantineSize: 2, TrustSize: 2, QuarantineFor: time.Minute, AbandonedFor: time.Second})
 		now = time.Unix(1000, 0)
 	})
 
@@ -33,10 +33,29 @@
 
 	It("clears a suspect that ran well", func() {
 		q.crashed(7, now)
-		q.ranWell(7)
+		q.ranWell(7, now)
 		Expect(q.crashed(7, now)).To(BeFalse())
 	})
 
+	It("excuses a popular request at any number of crashes, and one that turned bad only once", func() {
+		for range 5 {
+			q.ranWell(7, now)
+			Expect(q.crashed(7, now)).To(BeFalse())
+			Expect(q.suspected(7, now)).To(BeFalse())
+		}
+		Expect(q.crashed(7, now)).To(BeFalse())
+		Expect(q.crashed(7, now)).To(BeTrue())
+	})
+
+	It("runs a request alone that ran well here and is convicted elsewhere", func() {
+		q.ranWell(7, now)
+		Expect(q.atLeast(7, 2, now)).To(BeFalse())
+		q.heard(7, now)
+		Expect(q.convictedFor(7, now)).To(BeZero())
+		Expect(q.suspected(7, now)).To(BeTrue())
+		Expect(q.crashed(7, now)).To(BeTrue())
+	})
+
 	It("does not prolong a conviction that is heard again", func() {
 		q.heard(7, now)
 		q.heard(7, now.Add(50*time.Second))
@@ -53,6 +72,10 @@
 		Expect(q.convicted.Len()).To(Equal(2))
 		q.crashed(0, now)
 		Expect(q.suspected(0, now)).To(BeFalse())
+		for fp := range uint64(10) {
+			q.ranWell(fp, now)
+		}
+		Expect(q.trusted.Len()).To(Equal(2))
 	})
 })
 
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -39,6 +39,10 @@
 	cfg       Config
 	suspects  *simplelru.LRU[uint64, *suspect]
 	convicted *simplelru.LRU[uint64, conviction]
+	// trusted holds fingerprints that ran well, each until a time. A request
+	// that crashes each server that runs it never gets here; one that many
+	// callers send is on the server at any crash, and here it has its excuse.
+	trusted   *simplelru.LRU[uint64, time.Time]
 	abandoned []abandoned
 }
 
@@ -51,7 +55,11 @@
 	if err != nil {
 		panic(err)
 	}
-	return &quarantine{cfg: cfg, suspects: suspects, convicted: convicted}
+	trusted, err := simplelru.NewLRU[uint64, time.Time](cfg.TrustSize, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &quarantine{cfg: cfg, suspects: suspects, convicted: convicted, trusted: trusted}
 }
 
 // empty reports whether there is nothing to look up.
@@ -98,7 +106,7 @@
 // atLeast notes crashes that others saw and reports whether the fingerprint is
 // convicted by them.
 func (q *quarantine) atLeast(fp uint64, crashes int, now time.Time) bool {
-	if fp == 0 || crashes <= q.crashesOf(fp, now) {
+	if fp == 0 || crashes <= q.crashesOf(fp, now) || q.trusts(fp, now) {
 		return false
 	}
 	return q.set(fp, crashes, now, false)
@@ -107,12 +115,25 @@
 // crashed notes that a fingerprint was on the server when it crashed and
 // reports whether that convicts it.
 func (q *quarantine) crashed(fp uint64, now time.Time) bool {
-	if fp == 0 || q.convictedFor(fp, now) > 0 {
+	if fp == 0 || q.convictedFor(fp, now) > 0 || q.spendTrust(fp, now) {
 		return false
 	}
 	return q.set(fp, q.crashesOf(fp, now)+1, now, true)
 }
 
+func (q *quarantine) trusts(fp uint64, now time.Time) bool {
+	until, ok := q.trusted.Peek(fp)
+	return ok && now.Before(until)
+}
+
+// spendTrust excuses a fingerprint for one crash if it ran well before. It has
+// to run well again for the next one, so a request that turned bad is found.
+func (q *quarantine) spendTrust(fp uint64, now time.Time) bool {
+	trusted := q.trusts(fp, now)
+	q.trusted.Remove(fp)
+	return trusted
+}
+
 func (q *quarantine) set(fp uint64, crashes int, now time.Time, own bool) bool {
 	until := now.Add(q.cfg.QuarantineFor)
 	if crashes < crashesToConvict {
@@ -124,9 +145,13 @@
 	return true
 }
 
-// ranWell clears a suspect.
-func (q *quarantine) ranWell(fp uint64) {
+// ranWell clears a suspect and trusts it for a while.
+func (q *quarantine) ranWell(fp uint64, now time.Time) {
+	if fp == 0 {
+		return
+	}
 	q.suspects.Remove(fp)
+	q.trusted.Add(fp, now.Add(q.cfg.QuarantineFor))
 }
 
 // heard notes a conviction by another gate. Hearing it again does not prolong
@@ -135,6 +160,10 @@
 	if fp == 0 || q.convictedFor(fp, now) > 0 {
 		return
 	}
+	if q.spendTrust(fp, now) {
+		q.set(fp, crashesToConvict-1, now, false)
+		return
+	}
 	q.set(fp, crashesToConvict, now, false)
 }
 
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -123,8 +123,8 @@
 
 func newLedger(b boot) *ledger.Ledger { return ledger.New(ledger.Config{}, time.Time(b)) }
 
-func newNodeOwner(self host.Listing, b boot, client *control.Client) *owner {
-	return newOwner(self, time.Time(b), client)
+func newNodeOwner(self host.Listing, b boot, client *control.Client, g *gate.Gate) *owner {
+	return newOwner(self, time.Time(b), client, g)
 }
 
 func newDirectory(self host.Listing, book *routing.Book) *routing.Directory {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -18,23 +18,37 @@
 // lease survives the loss of three in a row.
 const heartbeatEvery = time.Second
 
+// crashNews is what the gates of a service tell each other after a crash.
+type crashNews interface {
+	Crashes() <-chan struct{}
+	Suspects() []uint64
+	Quarantine() []uint64
+	Suspect(fingerprint uint64, now time.Time)
+	Convict(fingerprint uint64, now time.Time)
+}
+
+// maxToldFingerprints bounds each list of fingerprints in a heartbeat.
+const maxToldFingerprints = 64
+
 // owner keeps this host's ownership of keys: it feeds the machine with the
 // host list and with heartbeats.
 type owner struct {
 	self    host.Listing
 	machine *ownership.Machine
 	client  *control.Client
+	gate    crashNews
 	hosts   atomic.Pointer[[]host.ID] // the service's hosts in the list
 
 	mu        sync.Mutex
 	addresses map[host.ID]string // of listed hosts and of those just dropped
 }
 
-func newOwner(self host.Listing, boot time.Time, client *control.Client) *owner {
+func newOwner(self host.Listing, boot time.Time, client *control.Client, gate crashNews) *owner {
 	o := &owner{
 		self:      self,
 		machine:   ownership.New(ownership.Config{}, self.ID, boot),
 		client:    client,
+		gate:      gate,
 		addresses: map[host.ID]string{},
 	}
 	o.hosts.Store(&[]host.ID{})
@@ -69,24 +83,34 @@
 	o.machine.SetView(ownership.View{Revision: list.Revision, Hosts: ids}, now)
 }
 
-// run sends heartbeats until the context ends.
+// run sends heartbeats until the context ends: one a second, and one at once
+// after a crash, so that the other gates know the suspects before a caller's
+// next try reaches them.
 func (o *owner) run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
+	o.beat(ctx, nil, nil)
 	for {
-		// A host without peers draws its conclusions here as well.
-		o.machine.Heartbeat(time.Now())
-		for _, address := range o.targets() {
-			go o.ask(ctx, address)
-		}
 		select {
 		case <-ticker.C:
+			o.beat(ctx, nil, nil)
+		case <-o.gate.Crashes():
+			o.beat(ctx, o.gate.Suspects(), o.gate.Quarantine())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// beat asks every peer once. A host without peers draws its conclusions here
+// as well.
+func (o *owner) beat(ctx context.Context, suspects, convicted []uint64) {
+	o.machine.Heartbeat(time.Now())
+	for _, address := range o.targets() {
+		go o.ask(ctx, address, suspects, convicted)
+	}
+}
+
 // targets returns the addresses of the peers and forgets those of hosts that
 // matter no more.
 func (o *owner) targets() []string {
@@ -110,9 +134,12 @@
 
 // ask exchanges heartbeats with one peer. The answer may come late: it counts
 // from the time its request was sent.
-func (o *owner) ask(ctx context.Context, address string) {
+func (o *owner) ask(ctx context.Context, address string, suspects, convicted []uint64) {
 	sent := time.Now()
-	answer, err := o.client.Heartbeat(ctx, address, o.heartbeat(sent))
+	message := o.heartbeat(sent)
+	message.Suspects = suspects[:min(len(suspects), maxToldFingerprints)]
+	message.Convicted = convicted[:min(len(convicted), maxToldFingerprints)]
+	answer, err := o.client.Heartbeat(ctx, address, message)
 	if err != nil || answer.GetService() != o.self.Service {
 		return
 	}
@@ -139,7 +166,17 @@
 	}
 }
 
-// HandleHeartbeat answers a peer's heartbeat.
-func (o *owner) HandleHeartbeat(*wire.Heartbeat) *wire.Heartbeat {
-	return o.heartbeat(time.Now())
+// HandleHeartbeat answers a peer's heartbeat and takes in what it says of
+// requests that crash servers.
+func (o *owner) HandleHeartbeat(m *wire.Heartbeat) *wire.Heartbeat {
+	now := time.Now()
+	if m.GetService() == o.self.Service {
+		for _, fingerprint := range m.GetConvicted() {
+			o.gate.Convict(fingerprint, now)
+		}
+		for _, fingerprint := range m.GetSuspects() {
+			o.gate.Suspect(fingerprint, now)
+		}
+	}
+	return o.heartbeat(now)
 }
