Don't take contact with all listed hosts for the word of a skipped view

Cause: a host that was cut off while the list changed twice raised its floor when every host of the newest list agreed, although a peer may have helped others to work under the list between. Change: contact with the whole view excuses restarted peers only; other peers must have no gap of a lease between two views, or say by ViewFirst that they held one set throughout. After a horizon the rule falls away.

--- a/internal/ownership/availability_test.go
+++ b/internal/ownership/availability_test.go
@@ -48,6 +48,7 @@
 	{"one of two hosts dies and leaves the list", 2, func(w *world) { w.kill(1); w.relist(0) }, horizon + handed, horizon + handed},
 	{"three of five hosts die and leave the list", 5, func(w *world) { w.kill(2, 3, 4); w.relist(0, 1) }, horizon + handed, horizon + handed},
 	{"all hosts are cut off for a while", 4, func(w *world) { w.isolate(3 * worldLease) }, handed, handed},
+	{"all hosts are cut off while the list changes elsewhere", 4, func(w *world) { w.at(2*worldLease, func() { w.relist(0, 1, 2, 3) }); w.isolate(3 * worldLease) }, handed, handed},
 }
 
 // herd restarts the first n processes.
--- a/internal/ownership/floor.go
+++ b/internal/ownership/floor.go
@@ -93,8 +93,8 @@
 
 // clean reports whether a peer can't have worked under a view later than the
 // given one, and than the floor, that this host doesn't know.
-func (m *Machine) clean(p *peer, view *span) bool {
-	return p.unbroken(max(view.first, m.floor), m.cfg.Lease, m.knows)
+func (m *Machine) clean(p *peer, view *span, trusted bool) bool {
+	return p.unbroken(max(view.first, m.floor), m.cfg.Lease, m.knows, trusted)
 }
 
 // cleanMembers counts the members, this host included, that are in contact and
@@ -105,7 +105,7 @@
 		p := m.peers[member.id]
 		if member.id == m.self.id || m.stopped(member, now) {
 			count++
-		} else if p != nil && p.settled && m.fresh(p, now) && m.clean(p, view) {
+		} else if p != nil && p.settled && m.fresh(p, now) && m.clean(p, view, false) {
 			count++
 		}
 	}
@@ -170,12 +170,14 @@
 		return false
 	}
 	whole := m.wholeContact(target, now)
+	// A gate under a view that this host skipped has left the list by now.
+	old := now.Sub(target.since) >= m.cfg.Horizon
 	for _, view := range m.views {
 		if view.first > revision {
 			break
 		}
-		acks, clean := m.acks(view, target, revision, now)
-		if acks < view.majority() || (clean < view.half() && !whole) {
+		acks, clean := m.acks(view, target, revision, whole, now)
+		if acks < view.majority() || clean < view.half() && !old {
 			return false
 		}
 	}
@@ -183,8 +185,10 @@
 }
 
 // acks counts the members of a view that acknowledge a revision, and those of
-// them that can't have worked under a view that this host doesn't know.
-func (m *Machine) acks(view, target *span, revision uint64, now time.Time) (acks, clean int) {
+// them that can't have worked under a view that this host doesn't know. In
+// contact with the whole view, restarted processes are trusted to have come up
+// on a view no older than any in use.
+func (m *Machine) acks(view, target *span, revision uint64, whole bool, now time.Time) (acks, clean int) {
 	for _, member := range view.members {
 		if member.id == m.self.id {
 			if target == m.current() && now.Sub(target.since) >= m.settleTime() {
@@ -203,7 +207,7 @@
 			continue
 		}
 		acks++
-		if m.clean(p, view) {
+		if m.clean(p, view, whole) {
 			clean++
 		}
 	}
--- a/internal/ownership/heartbeat.go
+++ b/internal/ownership/heartbeat.go
@@ -13,6 +13,9 @@
 	ViewRevision uint64
 	// ViewHash identifies the set of the service's hosts in that list.
 	ViewHash uint64
+	// ViewFirst is the first revision since which the sender has held that set
+	// without another between; 0 is unknown.
+	ViewFirst uint64
 	// Floor is a revision such that no gate works under an older one any more;
 	// 0 is unknown.
 	Floor uint64
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		heard = append(heard, p.sent)
-		if m.clean(p, view) {
+		if m.clean(p, view, false) {
 			clean = append(clean, p.sent)
 		}
 	}
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -92,6 +92,7 @@
 	if current := m.current(); current != nil {
 		h.ViewRevision = current.last
 		h.ViewHash = current.hash
+		h.ViewFirst = current.first
 	}
 	return h
 }
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -20,6 +20,8 @@
 // step is a view that a peer reported in one or more answers in a row.
 type step struct {
 	revision, hash uint64
+	// first is the peer's own word since which revision it has held the set.
+	first uint64
 	// arrived is when the first of the answers arrived.
 	arrived time.Time
 	// sent is when the request of the last of them was sent.
@@ -38,7 +40,7 @@
 		p.steps[n-1].sent = sent
 		return
 	}
-	p.steps = append(p.steps, step{revision: h.ViewRevision, hash: h.ViewHash, arrived: now, sent: sent})
+	p.steps = append(p.steps, step{revision: h.ViewRevision, hash: h.ViewHash, first: h.ViewFirst, arrived: now, sent: sent})
 }
 
 func (p *peer) lastStep() step {
@@ -62,15 +64,25 @@
 	if i < 0 || p.steps[i].hash != hash {
 		return time.Time{}, false
 	}
-	for i > 0 && p.steps[i-1].hash == hash && p.steps[i].arrived.Sub(p.steps[i-1].sent) < lease {
+	for i > 0 && p.steps[i-1].hash == hash && p.steps[i].follows(p.steps[i-1], lease) {
 		i--
 	}
 	return p.steps[i].arrived, true
 }
 
+// follows reports whether the process can't have spent a whole lease under
+// another view between two of its steps.
+func (s step) follows(earlier step, lease time.Duration) bool {
+	if s.hash == earlier.hash && s.first > 0 && s.first <= earlier.revision {
+		return true
+	}
+	return s.arrived.Sub(earlier.sent) < lease
+}
+
 // unbroken reports whether the process can't have spent a whole lease under a
-// view after revision that the known function doesn't know.
-func (p *peer) unbroken(revision uint64, lease time.Duration, known func(step) bool) bool {
+// view after revision that the known function doesn't know. Where its first
+// step is after revision, only trusted lets it count.
+func (p *peer) unbroken(revision uint64, lease time.Duration, known func(step) bool, trusted bool) bool {
 	var last *step
 	for i := range p.steps {
 		s := &p.steps[i]
@@ -78,7 +90,7 @@
 			if !known(*s) {
 				continue
 			}
-			if last == nil || s.arrived.Sub(last.sent) >= lease {
+			if last == nil && !trusted || last != nil && !s.follows(*last, lease) {
 				return false
 			}
 		}
--- a/internal/ownership/plant_test.go
+++ b/internal/ownership/plant_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"boragefall/internal/host"
 )
 
 // plants are faults that the properties must find.
@@ -26,7 +28,7 @@
 	if m.floor == 0 || current.first <= m.floor {
 		return
 	}
-	if acks, _ := m.acks(current, current, current.first, now); acks >= current.majority() {
+	if acks, _ := m.acks(current, current, current.first, true, now); acks >= current.majority() {
 		m.setFloor(current.first, now)
 	}
 }
@@ -38,13 +40,38 @@
 	defer func() { m.cfg.Lease = lease }()
 	current := m.current()
 	for _, view := range m.views {
-		if acks, _ := m.acks(view, current, current.first, now); acks < view.majority() || m.floor == 0 {
+		if acks, _ := m.acks(view, current, current.first, true, now); acks < view.majority() || m.floor == 0 {
 			return
 		}
 	}
 	m.setFloor(current.first, now)
 }
 
+// TestSkippedView cuts host c off while the list goes from {a, b, c} over one
+// that c never sees to {b, c}. Host b may have helped others to work under the
+// list between, and they may still do so.
+func TestSkippedView(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for gap, serves := range map[time.Duration]bool{time.Second: true, 20 * time.Second: false} {
+		m := New(quick, "c", start)
+		m.SetView(View{Revision: 10, Hosts: []host.ID{"a", "b", "c"}}, start)
+		m.floor = 10
+		last := newSpan(View{Revision: 30, Hosts: []host.ID{"b", "c"}}, start)
+		b := Heartbeat{Host: "b", Boot: 1, Floor: 10, Settled: true, ViewRevision: 10, ViewHash: m.current().hash, ViewFirst: 10}
+		m.HeartbeatReceived(b, start, start)
+		now := start.Add(gap)
+		m.SetView(View{Revision: 30, Hosts: []host.ID{"b", "c"}}, now)
+		b.ViewRevision, b.ViewHash, b.ViewFirst = 30, last.hash, 30
+		for range 10 {
+			m.HeartbeatReceived(b, now, now)
+			now = now.Add(time.Second)
+		}
+		if got := m.LeaseUntil().After(now); got != serves {
+			t.Errorf("after a gap of %s the host serves: %v", gap, got)
+		}
+	}
+}
+
 // TestPlantedFaultsAreFound runs the schedules with each fault in place.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for _, p := range plants {
