Show the key margin and the lease under every view by tests of their own

Cause: drawn schedules do not reach three rules of ownership. Change: TestLeaseNeedsEveryViewInUse, TestKeysFromAheadAcrossOwners with its planted fault, TestWalkLeavesAHostOnlyWithItsFence. A settled peer that names no floor is ignored: a process that starts would take it for one that knows none.

--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -65,8 +65,8 @@
 func (m *Machine) HeartbeatReceived(h Heartbeat, sent, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h.Host == m.self.id || h.ViewRevision == 0 {
-		return
+	if h.Host == m.self.id || h.ViewRevision == 0 || h.Settled && h.Floor == 0 {
+		return // a settled host has a floor; without it the message proves nothing
 	}
 	m.followRevision(h)
 	p := m.peers[h.Host]
--- /dev/null
+++ b/internal/ownership/machine_test.go
@@ -0,0 +1,114 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/host"
+	"boragefall/internal/idempotency"
+	"boragefall/internal/verdict"
+)
+
+// TestLeaseNeedsEveryViewInUse gives host g contact with more than half of the
+// hosts of one of two views.
+func TestLeaseNeedsEveryViewInUse(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for name, views := range map[string][2][]host.ID{
+		"not of the old view": {{"g", "a", "b", "c", "d"}, {"g", "a", "b"}},
+		"not of the new view": {{"g", "a", "b"}, {"g", "a", "b", "c", "d", "e"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := New(quick, "g", start)
+			m.SetView(View{Revision: 10, Hosts: views[0]}, start)
+			m.floor = 10
+			old := m.current().hash
+			for _, revision := range []uint64{10, 20} {
+				m.SetView(View{Revision: revision, Hosts: views[1]}, start)
+				for _, id := range []host.ID{"a", "b"}[:min(2, len(views[1])-len(views[0])+3)] {
+					b := Heartbeat{Host: id, Boot: 1, Floor: 10, Settled: true, ViewRevision: revision, ViewHash: old, ViewFirst: revision}
+					if revision == 20 {
+						b.ViewHash = m.current().hash
+					}
+					m.HeartbeatReceived(b, start.Add(time.Duration(revision)), start.Add(time.Duration(revision)))
+				}
+			}
+			g.Expect(m.LeaseUntil().After(start)).To(BeFalse())
+		})
+	}
+}
+
+// TestMalformedHeartbeatIsIgnored covers a peer that counts in majorities but
+// names no floor, such as one whose message lacks the field.
+func TestMalformedHeartbeatIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_700_000_000, 0)
+	m := New(quick, "a", now)
+	m.SetView(View{Revision: 10, Hosts: []host.ID{"a", "b"}}, now)
+	for range 20 {
+		now = now.Add(time.Second)
+		m.HeartbeatReceived(Heartbeat{Host: "b", Boot: 1, Settled: true, ViewRevision: 10, ViewHash: m.current().hash}, now, now)
+	}
+	g.Expect(m.Heartbeat(now).Settled).To(BeFalse())
+}
+
+// aheadAcrossOwners runs keys from ahead on a host that is cut off and dropped,
+// and sends them again to its successors, whose clocks are behind.
+func aheadAcrossOwners(p plant) (broken string) {
+	fail := func(format string, args ...any) { broken = fmt.Sprintf(format, args...) }
+	w := newWorld(fail, 1, 3, quick, p)
+	w.busy = false
+	for i, p := range w.procs {
+		p.offset = -time.Second
+		if i == 0 {
+			p.offset = time.Second
+		}
+	}
+	w.run(3 * worldLease)
+	w.procs[0].side, w.entries[1].side = 1, 1
+	w.publish([]host.ID{w.procs[1].id, w.procs[2].id})
+	w.entries[0].list = w.newest()
+	w.refresh(w.procs[1], w.newest())
+	w.refresh(w.procs[2], w.newest())
+	for i := range 80 {
+		k := &testKey{fenced: make(map[host.ID]time.Time), made: w.now}
+		k.Key = idempotency.Key{Value: fmt.Sprint("k", i), Time: w.now.Add(3 * time.Second)}
+		w.send(k, &w.entries[1])
+		for again := range 8 {
+			w.at(time.Duration(again+1)*time.Second, func() { w.send(k, &w.entries[0]) })
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.run(10 * time.Second)
+	return broken
+}
+
+func TestKeysFromAheadAcrossOwners(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(aheadAcrossOwners(plant{})).To(BeEmpty())
+	noMargin := plant{asked: func(r *rights) { r.cfg.ClockBound = 0 }}
+	g.Expect(aheadAcrossOwners(noMargin)).To(ContainSubstring("which ran on"))
+}
+
+func TestWalkLeavesAHostOnlyWithItsFence(t *testing.T) {
+	g := NewWithT(t)
+	hosts := []host.ID{"a", "b", "c"}
+	ranked := Rank("key", hosts)
+	w := NewWalk("key", View{Revision: 1, Hosts: hosts})
+	next := func() host.ID { id, _ := w.Next(); return id }
+	g.Expect(next()).To(Equal(ranked[0]))
+	g.Expect(w.Refused(ranked[0], verdict.Refuse(verdict.ReasonOverloaded, 0))).To(BeFalse())
+	g.Expect(next()).To(Equal(ranked[0]))
+	fenced := verdict.Refuse(verdict.ReasonOverloaded, 0)
+	fenced.Fenced = true
+	g.Expect(w.Refused(ranked[0], fenced)).To(BeTrue())
+	g.Expect(next()).To(Equal(ranked[1]))
+	g.Expect(w.Fences()).To(Equal(ranked[:1]))
+	w.SetView(View{Revision: 2, Hosts: ranked[:1]})
+	_, more := w.Next()
+	g.Expect(more).To(BeFalse())
+	g.Expect(w.Unreachable(nil).Verdict).To(Equal(verdict.MayHaveRun))
+}
