--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -77,6 +77,7 @@
 	plotFile := flags.String("plot", "", "SVG `file` for the curves")
 	logLevel := flags.String("log-level", "error", "`level` of the nodes' logs")
 	bound := flags.Duration("bound", e.bound, "longest run `time`")
+	profile := flags.String("cpu-profile", "", "`file` for a CPU profile of this process")
 	run := e.prepare(flags)
 	return &ffcli.Command{
 		Name:       e.name,
@@ -86,6 +87,11 @@
 		Exec: func(ctx context.Context, _ []string) error {
 			ctx, cancel := context.WithTimeout(ctx, *bound)
 			defer cancel()
+			stop, err := startProfile(*profile)
+			if err != nil {
+				return err
+			}
+			defer stop()
 			b := &bench{seed: *seed, logger: telemetry.NewLogger(*logLevel, os.Stderr)}
 			r, err := measure(ctx, e.name, b, run)
 			if err != nil {
--- a/bench/process/fleet.go
+++ b/bench/process/fleet.go
@@ -110,6 +110,8 @@
 		if err := f.startNode(n); err != nil {
 			return err
 		}
+		// One after the other, so that the machine's other work goes on.
+		time.Sleep(startGap)
 	}
 	return f.waitReady(ctx)
 }
@@ -163,6 +165,7 @@
 }
 
 const (
+	startGap   = 50 * time.Millisecond
 	readyLimit = 60 * time.Second
 	readyPoll  = 100 * time.Millisecond
 )
