--- a/internal/node/stopper.go
+++ b/internal/node/stopper.go
@@ -14,8 +14,8 @@
 	"boragefall/internal/settings"
 )
 
-// announceFor is how long a stopping node still takes new work, so that the
-// other nodes hear of its leaving first.
+// announceFor is how long a stopping node still answers callers, with refusals
+// as a rule, so that the other nodes hear of its leaving before it is gone.
 const announceFor = 1500 * time.Millisecond
 
 // stopper carries out a planned stop.
