Pack a file once in the fleet, by its reader

Cause: each node packed again what it had just unpacked; a third of the test's time went there. Change: a pull keeps the packed bytes of the files that it checked, unless they are longer than packing may make them; newBundle is no longer exported. The test world finds nodes by a map. Measured: the package's tests take 3 to 4 s in place of 4 to 5, with the race detector 36 to 41 s in place of 77 s, on a busy machine (load 12 to 13).

--- a/internal/spread/bundle.go
+++ b/internal/spread/bundle.go
@@ -27,22 +27,26 @@
 	// Files is sorted by name.
 	Files []config.File
 
-	packed map[config.Hash][]byte // the files as they cross the link
+	packed packedFiles
 }
 
-// NewBundle returns the bundle of a version. It takes over what the version
-// before, which may be nil, has packed.
-func NewBundle(kind wire.DocumentKind, version config.Version, files []config.File, before *Bundle) *Bundle {
+// packedFiles holds files as they cross the link, by the hash of their bare
+// bytes.
+type packedFiles map[config.Hash][]byte
+
+// newBundle returns the bundle of a version. It packs the files that are not
+// packed yet.
+func newBundle(kind wire.DocumentKind, version config.Version, files []config.File, packed packedFiles) *Bundle {
 	sorted := slices.Clone(files)
 	slices.SortFunc(sorted, func(a, b config.File) int { return cmp.Compare(a.Name, b.Name) })
 	manifest := config.ManifestOf(sorted)
 	b := &Bundle{
 		Kind: kind, Version: version, Manifest: manifest, Hash: manifest.Hash(), Files: sorted,
-		packed: make(map[config.Hash][]byte, len(sorted)),
+		packed: make(packedFiles, len(sorted)),
 	}
 	for i, entry := range manifest {
-		if before != nil && before.packed[entry.Hash] != nil {
-			b.packed[entry.Hash] = before.packed[entry.Hash]
+		if known, ok := packed[entry.Hash]; ok {
+			b.packed[entry.Hash] = known
 			continue
 		}
 		b.packed[entry.Hash] = pack(sorted[i].Data)
@@ -63,6 +67,13 @@
 	return nil, false
 }
 
+func (b *Bundle) packedFiles() packedFiles {
+	if b == nil {
+		return nil
+	}
+	return b.packed
+}
+
 func (b *Bundle) files() []config.File {
 	if b == nil {
 		return nil
--- a/internal/spread/packing.go
+++ b/internal/spread/packing.go
@@ -9,6 +9,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// packOverhead is what packing adds at most to a short file, in bytes.
+const packOverhead = 16
+
 // packers keeps *flate.Writer, whose tables are large.
 var packers = sync.Pool{New: func() any {
 	writer, err := flate.NewWriter(io.Discard, flate.DefaultCompression)
--- a/internal/spread/property_test.go
+++ b/internal/spread/property_test.go
@@ -193,6 +193,9 @@
 		if back, err := unpack(pack(data), len(data)); err != nil || !bytes.Equal(back, data) {
 			t.Fatalf("%v, %d bytes became %d", err, len(data), len(back))
 		}
+		if len(pack(data)) > len(data)+packOverhead {
+			t.Fatalf("%d bytes became %d", len(data), len(pack(data)))
+		}
 		if _, err := unpack(pack(data), len(data)-1); err == nil {
 			t.Fatalf("%d bytes passed a limit of %d", len(data), len(data)-1)
 		}
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -23,6 +23,7 @@
 	deadline time.Time
 	manifest config.Manifest
 	pieces   map[config.Hash][]byte
+	packed   packedFiles
 }
 
 // missing lists the hashes that are still to be fetched.
@@ -61,11 +62,19 @@
 			continue
 		}
 		p.pieces[hash] = data
+		p.keepPacked(hash, f.GetData())
 		progress = true
 	}
 	return progress
 }
 
+// keepPacked takes over a packed file, unless its sender packed it badly.
+func (p *pull) keepPacked(hash config.Hash, packed []byte) {
+	if len(packed) <= len(p.pieces[hash])+packOverhead {
+		p.packed[hash] = packed
+	}
+}
+
 // largest is the size of the largest file that the manifest names.
 func (p *pull) largest() int {
 	size := 0
@@ -93,7 +102,7 @@
 	if !ok {
 		return
 	}
-	d.pull = &pull{offer: best, pieces: map[config.Hash][]byte{}}
+	d.pull = &pull{offer: best, pieces: map[config.Hash][]byte{}, packed: packedFiles{}}
 	m.sendPull(now, d, &wire.Pull{Manifest: true})
 }
 
@@ -189,6 +198,7 @@
 	for _, e := range d.pull.manifest {
 		if data, ok := d.current.find(e.Hash); ok {
 			d.pull.pieces[e.Hash] = data
+			d.pull.packed[e.Hash] = d.current.packed[e.Hash]
 		}
 	}
 }
@@ -204,7 +214,7 @@
 	if err != nil {
 		m.reject(now, d, Rejection{Version: p.version, Hash: p.hash, Reason: err.Error()})
 	} else if d.wants(p.version) {
-		m.apply(now, d, NewBundle(d.kind, p.version, files, d.current), accepted)
+		m.apply(now, d, newBundle(d.kind, p.version, files, p.packed), accepted)
 	}
 	m.pullNext(now, d)
 }
--- a/internal/spread/source.go
+++ b/internal/spread/source.go
@@ -260,7 +260,7 @@
 	}
 	m.countConflict(d, accepted.Version, config.ManifestOf(files).Hash())
 	if d.wants(accepted.Version) {
-		m.apply(now, d, NewBundle(d.kind, accepted.Version, files, d.current), accepted)
+		m.apply(now, d, newBundle(d.kind, accepted.Version, files, d.current.packedFiles()), accepted)
 	}
 	return true
 }
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -206,7 +206,7 @@
 }
 
 func testBundle(revision uint64) *Bundle {
-	return NewBundle(KindConfig, config.Version{Revision: revision},
+	return newBundle(KindConfig, config.Version{Revision: revision},
 		[]config.File{{Name: "a.json", Data: fmt.Appendf(nil, `{"text":"%d"}`, revision)}}, nil)
 }
 
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -164,6 +164,7 @@
 	queue  eventQueue
 	order  int
 	nodes  []*testNode
+	places map[string]*testNode // nodes by address
 	source *fakeSource
 	loss   int // percent of messages lost
 	delay  time.Duration
@@ -181,7 +182,7 @@
 func newWorld(t failer, seed uint64, nodes, centres int) *world {
 	w := &world{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		delay:  5 * time.Millisecond,
+		delay: 5 * time.Millisecond, places: map[string]*testNode{},
 		source: &fakeSource{accepted: map[string]bool{}},
 	}
 	for i := range nodes {
@@ -194,6 +195,9 @@
 			},
 		}})
 	}
+	for _, n := range w.nodes {
+		w.places[n.listing.Address] = n
+	}
 	w.publishConfig(10, testDocument{})
 	w.publishHosts(10)
 	return w
@@ -283,7 +287,7 @@
 			func(to *process) any {
 				reply, effects := to.m.GossipReceived(w.now, proto.CloneOf(e.Message))
 				for _, more := range effects {
-					w.carryOut(w.nodeAt(e.Address), to, more)
+					w.carryOut(w.places[e.Address], to, more)
 				}
 				return reply
 			},
@@ -315,7 +319,7 @@
 		return
 	}
 	w.after(w.latency(), func() {
-		to := w.nodeAt(address)
+		to := w.places[address]
 		if to == nil || to.life == nil || to.group != n.group || w.now.Before(to.pausedUntil) {
 			w.after(callTimeout, fail)
 			return
@@ -352,15 +356,6 @@
 	return time.Millisecond + time.Duration(w.random.Int64N(int64(w.delay)))
 }
 
-func (w *world) nodeAt(address string) *testNode {
-	for _, n := range w.nodes {
-		if n.listing.Address == address {
-			return n
-		}
-	}
-	return nil
-}
-
 func (w *world) readSource(n *testNode, p *process, e ReadSource) {
 	w.reads++
 	i, _ := kindIndex(e.Kind)
