Tell those that joined only what the run's end proves

Cause: a run that ended since the gate had lost its lease told those that joined it not-run, for which the gate can't speak any more. Change: OutcomeLost. Joined requests get MayHaveRun, and the key is forgotten. Planted and seen: the table in the ledger's test, with OutcomeLost decided as OutcomeNotRun, is the old code. Conclusion: NotRun is said only while the gate may run the key.

--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -28,7 +28,7 @@
 }
 
 // Result returns the decision for those that joined. It is valid after Done is
-// closed. For OutcomeNotRun it refuses with NotRun, as the run it joined did.
+// closed. It refuses with NotRun only when the run it joined ended so.
 func (e *Entry) Result() Decision {
 	return e.decision()
 }
@@ -51,7 +51,7 @@
 	if outcome == OutcomeRan {
 		e.answer = e.ledger.admit(answer)
 	}
-	if outcome == OutcomeNotRun {
+	if outcome == OutcomeNotRun || outcome == OutcomeLost {
 		e.ledger.forget(s, e)
 	} else {
 		e.ledger.remember(s, e, now)
@@ -68,8 +68,11 @@
 		}
 		return Decision{Kind: RanNoAnswer, Refusal: verdict.New(verdict.Ran, verdict.ReasonAnswerLost, nil)}
 	case OutcomeNotRun:
-		// Proof: the run that was joined ended before the server got the request.
+		// Proof: the run that was joined ended before the server got the request,
+		// and the gate still was the only one that may run the key.
 		return refuse(verdict.Refuse(verdict.ReasonOverloaded, retryAfter))
+	case OutcomeLost:
+		return refuse(lostRefusal())
 	case OutcomeFenced:
 		return refuse(fencedRefusal())
 	default:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -204,6 +204,12 @@
 	return e
 }
 
+func lostRefusal() *verdict.Error {
+	e := verdict.New(verdict.MayHaveRun, verdict.ReasonNoLease, nil)
+	e.RetryAfter = retryAfter
+	return e
+}
+
 // fencedRefusal is MayHaveRun, since the next gate in rank may run the key.
 func fencedRefusal() *verdict.Error {
 	e := verdict.New(verdict.MayHaveRun, verdict.ReasonFenced, nil)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -70,6 +70,21 @@
 		Expect(l.Begin(request("k", now), now.Add(horizon)).Kind).To(Equal(ledger.Replay))
 	})
 
+	DescribeTable("tells those that joined what the run's end proves",
+		func(outcome ledger.Outcome, want verdict.Verdict, forgotten bool) {
+			first := l.Begin(request("k", now), now)
+			joined := l.Begin(request("k", now), now)
+			first.Entry.Finish(outcome, nil, now)
+			Expect(joined.Entry.Result().Refusal.Verdict).To(Equal(want))
+			Expect(l.Begin(request("k", now), now).Kind == ledger.Run).To(Equal(forgotten))
+		},
+		Entry("not run", ledger.OutcomeNotRun, verdict.NotRun, true),
+		Entry("ownership lost", ledger.OutcomeLost, verdict.MayHaveRun, true),
+		Entry("fenced", ledger.OutcomeFenced, verdict.MayHaveRun, false),
+		Entry("unknown", ledger.OutcomeMayHaveRun, verdict.MayHaveRun, false),
+		Entry("ran without an answer", ledger.OutcomeRan, verdict.Ran, false),
+	)
+
 	It("refuses the same key with another body", func() {
 		l.Begin(request("k", now), now)
 		other := request("k", now)
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -328,6 +328,9 @@
 		w.checkVerdict(p, k, refusal)
 		refusal.Fenced = w.rng.IntN(3) > 0
 		outcome := ledger.OutcomeNotRun
+		if refusal.Verdict != verdict.NotRun {
+			outcome = ledger.OutcomeLost
+		}
 		if refusal.Fenced && !w.plant.falseFence {
 			outcome = ledger.OutcomeFenced
 		}
@@ -336,7 +339,7 @@
 		return
 	}
 	if refusal := w.mayRun(p, c, now); refusal != nil {
-		e.Finish(ledger.OutcomeNotRun, nil, w.clock(p))
+		e.Finish(ledger.OutcomeLost, nil, w.clock(p))
 		reply(refusal)
 		return
 	}
