Let the gates' word on keys follow the ownership's proof

A refusal after queueing passes through the ownership, which weakens not-run when the gate no longer speaks for the key; a key that lost its right while it waited is forgotten instead of remembered as may-have-run. At most three hosts fence a key, as many as an entry goes on to, so that a key refused for load by every host can still run when it is sent again. Entries walk the ranks by the same code that the schedules test. Heartbeats carry since when the sender holds its view.

--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -15,6 +15,11 @@
 // nested in it may pass through.
 const HopLimit = 32
 
+// MaxFences is the number of hosts that fence one key at most. An entry goes
+// on to as many further ranks and no further, so the next one never fences: a
+// key that is refused everywhere for load can still run when it is sent again.
+const MaxFences = 3
+
 // Request is one attempt to have a request run.
 type Request struct {
 	// ID names the request in answers, logs and spans.
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"boragefall/internal/contract"
@@ -20,41 +19,54 @@
 )
 
 // keyed sends a request that its caller may send again under the same key.
-// Every entry asks the host that the key ranks first; only a fence of that
-// host opens the next one.
+// Every entry walks the hosts in the key's rank; only a fence of one opens the
+// next.
 func (d *Dispatcher) keyed(ctx context.Context, r *contract.Request, body Body, plan *retry.Plan) (*contract.Answer, error) {
+	view := viewOf(d.cfg.HostList(), r.Service)
+	walk := ownership.NewWalk(r.Key, view)
 	for {
-		list := d.cfg.HostList()
-		hosts := ranked(list, r)
-		rank := firstUnfenced(hosts, r.Fences)
-		if rank >= len(hosts) {
+		id, more := walk.Next()
+		if !more {
 			return nil, noHostLeft()
 		}
-		r.HostListRevision = list.Revision
-		answer, err := d.ask(ctx, hosts[rank], r, body)
+		r.Fences = walk.Fences()
+		r.HostListRevision = view.Revision
+		answer, err := d.ask(ctx, id, r, body)
 		if err == nil {
 			return answer, nil
 		}
 		next := plan.KeyedNext(retry.KeyedAttempt{
 			Attempt:          retry.Attempt{Err: err, Now: time.Now(), BodySpent: !body.Replayable()},
-			Host:             hosts[rank],
-			HostListRevision: list.Revision,
-			Ranks:            len(hosts),
+			Host:             id,
+			HostListRevision: view.Revision,
+			Ranks:            len(view.Hosts),
 		})
 		r.Attempt = int(next.Attempt)
-		r.Fences = next.Fenced
 		switch next.Kind {
-		case retry.KeyedNextRank, retry.KeyedAskAgain:
+		case retry.KeyedAskAgain:
+		case retry.KeyedNextRank:
+			walk.Refused(id, verdict.Of(err))
 		case retry.KeyedNewView:
 			if !d.awaitView(ctx, next.HostListRevision) {
 				return nil, plan.GiveUp(err)
 			}
+			view = viewOf(d.cfg.HostList(), r.Service)
+			walk.SetView(view)
 		default:
 			return nil, next.Final
 		}
 	}
 }
 
+// viewOf is the host list as far as it concerns a service.
+func viewOf(list *host.List, service string) ownership.View {
+	view := ownership.View{Revision: list.Revision}
+	for _, l := range list.OfService(service) {
+		view.Hosts = append(view.Hosts, l.ID)
+	}
+	return view
+}
+
 // noHostLeft is MayHaveRun: a host that has left the list may have run the key.
 func noHostLeft() *verdict.Error {
 	e := verdict.New(verdict.MayHaveRun, verdict.ReasonLacksResource, nil)
@@ -62,24 +74,6 @@
 	return e
 }
 
-func ranked(list *host.List, r *contract.Request) []host.ID {
-	listings := list.OfService(r.Service)
-	ids := make([]host.ID, 0, len(listings))
-	for _, l := range listings {
-		ids = append(ids, l.ID)
-	}
-	return ownership.Rank(r.Key, ids)
-}
-
-func firstUnfenced(hosts, fenced []host.ID) int {
-	for i, id := range hosts {
-		if !slices.Contains(fenced, id) {
-			return i
-		}
-	}
-	return len(hosts)
-}
-
 // ask sends a keyed request to one host, also to a leaving one: its ledger
 // still answers.
 func (d *Dispatcher) ask(ctx context.Context, id host.ID, r *contract.Request, body Body) (*contract.Answer, error) {
--- a/internal/lasthop/hop.go
+++ b/internal/lasthop/hop.go
@@ -26,8 +26,11 @@
 type Owner interface {
 	// MayRun returns nil when the key may run here now.
 	MayRun(claim ownership.Claim, now time.Time) *verdict.Error
-	// LastRank reports whether no host is left that could run the key if
-	// this one fenced it.
+	// Refusal returns a refusal, weakened to MayHaveRun when this host no
+	// longer speaks for the key.
+	Refusal(claim ownership.Claim, refusal *verdict.Error, now time.Time) *verdict.Error
+	// LastRank reports whether an entry would ask no further host if this one
+	// fenced the key.
 	LastRank(claim ownership.Claim) bool
 }
 
--- a/internal/lasthop/keyed.go
+++ b/internal/lasthop/keyed.go
@@ -24,7 +24,7 @@
 
 // runKeyed runs a request that any entry may send again under the same key.
 func (h *Hop) runKeyed(ctx context.Context, r *contract.Request, service config.Service) (*contract.Answer, error) {
-	claim := claimOf(r)
+	claim := claimOf(r, service)
 	now := time.Now()
 	decision := h.cfg.Ledger.Begin(ledger.Request{
 		Key:           claim.Key,
@@ -37,12 +37,13 @@
 	return h.follow(ctx, r, claim, decision)
 }
 
-func claimOf(r *contract.Request) ownership.Claim {
+func claimOf(r *contract.Request, service config.Service) ownership.Claim {
 	return ownership.Claim{
-		Scoped:     r.Key,
-		Key:        idempotency.Key{Value: r.Key, Time: r.KeyTime, Minted: r.KeyMinted},
-		Fences:     r.Fences,
-		SenderView: r.HostListRevision,
+		Scoped:       r.Key,
+		Key:          idempotency.Key{Value: r.Key, Time: r.KeyTime, Minted: r.KeyMinted},
+		Fences:       r.Fences,
+		SenderView:   r.HostListRevision,
+		ResendWindow: service.ResendWindow.Std(),
 	}
 }
 
@@ -177,7 +178,8 @@
 	}
 	if refusal := h.cfg.Owner.MayRun(claim, time.Now()); refusal != nil {
 		permit.Done(gate.Outcome{Kind: gate.OutcomeCanceled})
-		return keyedResult{err: h.refuseEntry(claim, entry, refusal)}
+		entry.Finish(ledger.OutcomeLost, nil, time.Now())
+		return keyedResult{err: refusal}
 	}
 	answer, err := h.send(ctx, r, permit)
 	if err != nil {
@@ -186,22 +188,21 @@
 	return h.finishEntry(answer, entry)
 }
 
-// refuseEntry ends a key that was not handed to the server.
+// refuseEntry ends a key that was not handed to the server: with a fence where
+// the entry goes on to another host, and otherwise as not run.
 func (h *Hop) refuseEntry(claim ownership.Claim, entry *ledger.Entry, refusal *verdict.Error) *verdict.Error {
 	now := time.Now()
-	if refusal.Verdict != verdict.NotRun {
-		entry.Finish(ledger.OutcomeMayHaveRun, nil, now)
-		return refusal
-	}
-	if h.cfg.Owner.LastRank(claim) {
-		// With a fence here no host could ever run the key.
+	told := *h.cfg.Owner.Refusal(claim, refusal, now)
+	switch {
+	case !h.cfg.Owner.LastRank(claim):
+		entry.Finish(ledger.OutcomeFenced, nil, now)
+		told.Fenced = true
+	case told.Verdict == verdict.NotRun:
 		entry.Finish(ledger.OutcomeNotRun, nil, now)
-		return refusal
+	default:
+		entry.Finish(ledger.OutcomeLost, nil, now)
 	}
-	entry.Finish(ledger.OutcomeFenced, nil, now)
-	fenced := *refusal
-	fenced.Fenced = true
-	return &fenced
+	return &told
 }
 
 // failEntry ends a key whose request met an error on its way to the server.
--- a/internal/lasthop/lasthop_test.go
+++ b/internal/lasthop/lasthop_test.go
@@ -48,6 +48,10 @@
 	return o.answers[min(n, len(o.answers)-1)]
 }
 
+func (o *owner) Refusal(_ ownership.Claim, refusal *verdict.Error, _ time.Time) *verdict.Error {
+	return refusal
+}
+
 func (o *owner) LastRank(ownership.Claim) bool { return o.last }
 
 type world struct {
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -12,6 +12,7 @@
 	"boragefall/internal/backend"
 	"boragefall/internal/caller"
 	"boragefall/internal/config"
+	"boragefall/internal/contract"
 	"boragefall/internal/control"
 	"boragefall/internal/dispatch"
 	"boragefall/internal/exchange"
@@ -154,7 +155,7 @@
 	return spread.NewRunner(cfg, self, client, source, a, logger)
 }
 
-func newPolicy() *retry.Policy { return retry.NewPolicy(retry.Config{}) }
+func newPolicy() *retry.Policy { return retry.NewPolicy(retry.Config{MaxMoves: contract.MaxFences}) }
 
 func newHop(self host.Listing, s *state, g *gate.Gate, l *ledger.Ledger, o *owner, b *backend.Client, t *telemetry.Tracing, logger *log.Logger) *lasthop.Hop {
 	return lasthop.New(lasthop.Config{
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"boragefall/internal/contract"
 	"boragefall/internal/control"
 	"boragefall/internal/host"
 	"boragefall/internal/ownership"
@@ -60,8 +61,17 @@
 	return o.machine.MayRun(claim, now)
 }
 
-// LastRank reports whether all other hosts of the service fenced the key.
+// Refusal weakens a refusal when this gate no longer speaks for the key.
+func (o *owner) Refusal(claim ownership.Claim, refusal *verdict.Error, now time.Time) *verdict.Error {
+	return o.machine.Refusal(claim, refusal, now)
+}
+
+// LastRank reports whether an entry would ask no further host: all others
+// fenced the key, or as many as an entry collects.
 func (o *owner) LastRank(claim ownership.Claim) bool {
+	if len(claim.Fences) >= contract.MaxFences {
+		return true
+	}
 	for _, id := range *o.hosts.Load() {
 		if id != o.self.ID && !slices.Contains(claim.Fences, id) {
 			return false
@@ -148,6 +158,7 @@
 		Boot:         answer.GetBootMillis(),
 		ViewRevision: answer.GetHostListRevision(),
 		ViewHash:     answer.GetViewHash(),
+		ViewFirst:    answer.GetViewFirst(),
 		Floor:        answer.GetFloor(),
 		Settled:      answer.GetSettled(),
 	}, sent, time.Now())
@@ -160,6 +171,7 @@
 		BootMillis:       h.Boot,
 		HostListRevision: h.ViewRevision,
 		ViewHash:         h.ViewHash,
+		ViewFirst:        h.ViewFirst,
 		Floor:            h.Floor,
 		Settled:          h.Settled,
 		Service:          o.self.Service,
