gate: test the refusal from before a doubt on its own

Cause: the default length of the random operations did not find the mended fault again when it was planted (100 runs; 1,500 did). Planted faults: 47 were planted, each failed at least one test; TestGate and TestRandomOperations alone account for those of queue, quarantine and limit. Flaky, not explained: in one of 47 such runs, under a load average above 30, a storm test (one innocent) failed on a fault that does not touch it (shed of an earlier epoch); the same copy then passed 4 whole runs and 25 storm runs, and the unchanged code 25 + 40 + 36 storm runs.

--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -94,6 +94,19 @@
 	})
 }
 
+func TestConnectionRefusedToARequestFromBeforeADoubt(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		p, err := admitNow(g, Request{})
+		Expect(err).NotTo(HaveOccurred())
+		g.Hint(Hint{Healthy: true, BootID: "new"})
+		p.Done(Outcome{Kind: OutcomeRefused})
+		for range defaultProbationAnswers {
+			round(g, good())
+		}
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
+	})
+}
+
 func TestProcessPaused(t *testing.T) {
 	for boot, wantWarm := range map[string]bool{testBoot: true, "boot-2": false, "": false} {
 		t.Run("answer from "+boot, func(t *testing.T) {
--- a/internal/gate/storm_test.go
+++ b/internal/gate/storm_test.go
@@ -124,7 +124,8 @@
 				})
 				share := s.share(g)
 				t.Logf("innocent callers got %.3f of their demand", share)
-				Expect(share).To(BeNumerically(">=", 0.95))
+				Expect(share).To(BeNumerically(">=", 0.95),
+					"epoch %d, last doubt: %q", g.limiter.epoch, g.limiter.cause)
 				Expect(g.Load().Running + g.Load().Queued).To(BeZero())
 			})
 		})
