--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -31,11 +31,11 @@
 // Platform is a configuration service that can be read and watched. Its
 // methods that publish stand for the operators' side.
 type Platform struct {
-	cfg     PlatformConfig
 	limiter *rate.Limiter
 	reads   atomic.Int64
 	refused atomic.Int64
 	outage  atomic.Bool
+	lag     atomic.Int64 // of the host list, in nanoseconds
 
 	mu      sync.Mutex
 	files   map[string]value
@@ -68,12 +68,13 @@
 	if cfg.ReadsPerSecond == 0 {
 		cfg.ReadsPerSecond = defaultReadsPerSecond
 	}
-	return &Platform{
-		cfg:     cfg,
+	p := &Platform{
 		limiter: rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), int(cfg.ReadsPerSecond)),
 		files:   map[string]value{},
 		changed: make(chan struct{}),
 	}
+	p.SetHostListLag(cfg.HostListLag)
+	return p
 }
 
 // Publish replaces the whole folder and returns the new revision.
@@ -115,6 +116,11 @@
 	return p.rev
 }
 
+// SetHostListLag delays the changes of the host list from now on.
+func (p *Platform) SetHostListLag(lag time.Duration) {
+	p.lag.Store(int64(lag))
+}
+
 // SetHosts replaces the host list; the list's own revision is raised.
 func (p *Platform) SetHosts(hosts []host.Listing) {
 	set := func() {
@@ -125,11 +131,12 @@
 		p.hosts = next
 		p.wake()
 	}
-	if p.cfg.HostListLag == 0 {
+	lag := time.Duration(p.lag.Load())
+	if lag == 0 {
 		set()
 		return
 	}
-	time.AfterFunc(p.cfg.HostListLag, set)
+	time.AfterFunc(lag, set)
 }
 
 // SetOutage switches every read and watch off or on.
