gate: keep no slot back while a warm server is in doubt

Cause: with a cold limit of 1, the slot that one caller leaves to others was the only one while a warm server was in doubt (pause, idle second, hint), so with two callers asking within 10 s nobody was admitted until the others fell silent. Change: the reserve applies only to a server that is warm and not in doubt, and only above one slot.

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"boragefall/internal/host"
 	"boragefall/internal/verdict"
 )
 
@@ -93,10 +94,10 @@
 }
 
 // reserve is the number of slots that one caller leaves to the others, so that
-// its long requests can't lock them out. A cold server keeps none back: it has
-// to be proved at its whole limit.
-func (g *Gate) reserve() int {
-	if g.limiter.warm && g.limiter.limit > reservedSlots {
+// its long requests can't lock them out. A server that is cold or in doubt keeps
+// none back: it has to be proved at its whole limit, which may be 1.
+func (g *Gate) reserve(now time.Time) int {
+	if g.limiter.state() == host.StateWarm && g.limiter.current(now) > reservedSlots {
 		return reservedSlots
 	}
 	return 0
@@ -105,7 +106,7 @@
 // mayStart reports whether a caller may take another slot. The reserve is kept
 // only while other callers ask.
 func (g *Gate) mayStart(acc *account, now time.Time) bool {
-	reserve := g.reserve()
+	reserve := g.reserve(now)
 	if reserve == 0 || acc.running < g.limiter.current(now)-reserve {
 		return true
 	}
@@ -124,7 +125,7 @@
 	}
 	g.accounts.charge(acc, p, g.queue.leastService(g.accounts.clock(now)))
 	g.running.add(p)
-	if g.running.count >= p.limit-g.reserve() {
+	if g.running.count >= p.limit-g.reserve(now) {
 		g.fullSequence, g.fullLimit = p.sequence, p.limit
 	}
 	return p
--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -94,17 +94,22 @@
 	})
 }
 
-func TestConnectionRefusedToARequestFromBeforeADoubt(t *testing.T) {
-	warmGate(t, func(g *Gate) {
-		p, err := admitNow(g, Request{})
-		Expect(err).NotTo(HaveOccurred())
-		g.Hint(Hint{Healthy: true, BootID: "new"})
-		p.Done(Outcome{Kind: OutcomeRefused})
-		for range defaultProbationAnswers {
-			round(g, good())
-		}
-		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
-	})
+func TestFaultOfARequestFromBeforeADoubt(t *testing.T) {
+	for kind, want := range map[OutcomeKind]Load{
+		OutcomeRefused: {Limit: 2, State: host.StateCold},
+		OutcomeShed:    {Limit: 7, State: host.StateWarm},
+	} {
+		warmGate(t, func(g *Gate) {
+			p, err := admitNow(g, Request{})
+			Expect(err).NotTo(HaveOccurred())
+			g.Hint(Hint{Healthy: true, BootID: "new"})
+			p.Done(Outcome{Kind: kind})
+			for range 2 {
+				round(g, good())
+			}
+			Expect(g.Load()).To(Equal(want))
+		})
+	}
 }
 
 func TestProcessPaused(t *testing.T) {
--- a/internal/gate/machine_test.go
+++ b/internal/gate/machine_test.go
@@ -17,7 +17,6 @@
 
 const (
 	machineSlots     = 6
-	machineCold      = 2
 	machineWarm      = 8
 	machineQueue     = 5
 	machineSuspects  = 4
@@ -35,6 +34,7 @@
 type machine struct {
 	*WithT
 	gate    *Gate
+	cold    int
 	replies chan reply
 	cancels []context.CancelFunc
 	pending int
@@ -58,11 +58,13 @@
 }
 
 func newMachine(t *rapid.T) *machine {
+	cold := rapid.IntRange(1, 2).Draw(t, "cold limit")
 	return &machine{
 		WithT: NewWithT(t),
+		cold:  cold,
 		gate: New(Config{
 			Service: config.Service{
-				Slots: machineSlots, Connections: 9, ColdLimit: machineCold,
+				Slots: machineSlots, Connections: 9, ColdLimit: cold,
 				QueueLimit: machineQueue, WarmAfter: machineWarm,
 			},
 			QuarantineSize: machineSuspects, QuarantineFor: machineForgetful, ProbationAnswers: 1,
@@ -268,13 +270,13 @@
 func (m *machine) checkAdmission(admitted []*Permit, load Load, now time.Time) {
 	m.Expect(m.leaving).To(BeFalse(), "nothing is admitted while leaving")
 	m.Expect(load.Running).To(BeNumerically("<=", m.gate.limiter.current(now)), "the limit holds at admission")
-	steps := m.earned / (machineWarm / (machineSlots - machineCold))
-	bound := min(machineCold+steps, machineSlots)
+	perStep := (machineWarm + machineSlots - m.cold - 1) / (machineSlots - m.cold)
+	bound := min(m.cold+m.earned/perStep, machineSlots)
 	if m.earned >= machineWarm {
 		bound = machineSlots
 	}
 	if m.doubted {
-		bound = machineCold
+		bound = m.cold
 	}
 	m.Expect(load.Running).To(BeNumerically("<=", bound), "no more than the answers have proved")
 	for _, p := range admitted {
