gate: one allocation for an admission again; look inside under the mutex

Cause: the time at which a server was found down escaped to the heap on each publication of the load. The random operations read the gate's fields without its mutex while its timer may run: with the cold limit drawn, -race found it (a race of the test, not of the gate). Change: the time is copied only when it changed; the test looks inside under the mutex, with the same checks.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -250,7 +250,8 @@
 
 func (g *Gate) publish(now time.Time) {
 	state := g.limiter.state()
-	if at := g.limiter.downAt; state == host.StateDown && !at.Equal(*g.downSince.Load()) {
+	if state == host.StateDown && !g.limiter.downAt.Equal(*g.downSince.Load()) {
+		at := g.limiter.downAt // the copy is what escapes, and only here
 		g.downSince.Store(&at)
 	}
 	if g.leaving {
--- a/internal/gate/machine_test.go
+++ b/internal/gate/machine_test.go
@@ -193,7 +193,7 @@
 }
 
 func (m *machine) hint(t *rapid.T) {
-	before := m.gate.limiter.current(time.Now())
+	before := m.limit()
 	m.gate.Hint(Hint{
 		Healthy: rapid.Bool().Draw(t, "healthy"),
 		Load:    rapid.Float64Range(0, 3).Draw(t, "load"),
@@ -226,7 +226,6 @@
 func (m *machine) settle(t *rapid.T) {
 	synctest.Wait()
 	admitted := m.collect()
-	now := time.Now()
 	load := m.gate.Load()
 	m.Expect(load.Running).To(Equal(len(m.held)), "permits balance")
 	m.Expect(load.Queued).To(Equal(m.pending), "every waiter is in the queue once or answered once")
@@ -236,14 +235,30 @@
 		m.Expect(load.Queued).To(BeZero(), "leaving refuses waiters")
 	}
 	if len(admitted) > 0 {
-		m.checkAdmission(admitted, load, now)
+		m.checkAdmission(admitted, load)
 	}
 	m.checkQuarantine(admitted)
 	if t != nil && load.Queued > 0 && load.Running == 0 {
-		m.Expect(m.gate.isolation.wakeAt().IsZero()).To(BeFalse(), "nobody waits for nothing")
+		var wakeAt time.Time
+		m.inside(func(g *Gate) { wakeAt = g.isolation.wakeAt() })
+		m.Expect(wakeAt.IsZero()).To(BeFalse(), "nobody waits for nothing")
 	}
 }
 
+// inside looks into the gate under its mutex, since timers may run it too.
+func (m *machine) inside(look func(g *Gate)) {
+	m.gate.mu.Lock()
+	defer m.gate.mu.Unlock()
+	look(m.gate)
+}
+
+// limit is the gate's limit now; the published one is of the last event.
+func (m *machine) limit() int {
+	var limit int
+	m.inside(func(g *Gate) { limit = g.limiter.current(time.Now()) })
+	return limit
+}
+
 func (m *machine) collect() []*Permit {
 	var admitted []*Permit
 	for len(m.replies) > 0 {
@@ -267,9 +282,9 @@
 
 // checkAdmission checks the new permits against the gate's limit and against
 // the model's, which follows from outcomes alone.
-func (m *machine) checkAdmission(admitted []*Permit, load Load, now time.Time) {
+func (m *machine) checkAdmission(admitted []*Permit, load Load) {
 	m.Expect(m.leaving).To(BeFalse(), "nothing is admitted while leaving")
-	m.Expect(load.Running).To(BeNumerically("<=", m.gate.limiter.current(now)), "the limit holds at admission")
+	m.Expect(load.Running).To(BeNumerically("<=", m.limit()), "the limit holds at admission")
 	perStep := (machineWarm + machineSlots - m.cold - 1) / (machineSlots - m.cold)
 	bound := min(m.cold+m.earned/perStep, machineSlots)
 	if m.earned >= machineWarm {
@@ -280,7 +295,9 @@
 	}
 	m.Expect(load.Running).To(BeNumerically("<=", bound), "no more than the answers have proved")
 	for _, p := range admitted {
-		m.Expect(m.gate.quarantine.convictedFor(p.request.Fingerprint, now)).To(BeZero(), "convicted")
+		var left time.Duration
+		m.inside(func(g *Gate) { left = g.quarantine.convictedFor(p.request.Fingerprint, time.Now()) })
+		m.Expect(left).To(BeZero(), "convicted")
 	}
 }
 
@@ -297,8 +314,10 @@
 	m.Expect(len(m.suspectRuns)).To(BeNumerically("<=", 1), "suspects run one at a time")
 	m.Expect(len(m.gate.Quarantine())).To(BeNumerically("<=", machineSuspects))
 	m.Expect(len(m.gate.Suspects())).To(BeNumerically("<=", machineSuspects))
-	m.Expect(len(m.gate.quarantine.abandoned)).To(BeNumerically("<=", maxAbandoned))
-	m.Expect(m.gate.accounts.known.Len()).To(BeNumerically("<=", 3))
+	m.inside(func(g *Gate) {
+		m.Expect(len(g.quarantine.abandoned)).To(BeNumerically("<=", maxAbandoned))
+		m.Expect(g.accounts.known.Len()).To(BeNumerically("<=", 3))
+	})
 }
 
 // end drains the gate and checks that nothing is left.
