--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -94,6 +94,19 @@
 	})
 }
 
+func TestConnectionRefusedToARequestFromBeforeADoubt(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		p, err := admitNow(g, Request{})
+		Expect(err).NotTo(HaveOccurred())
+		g.Hint(Hint{Healthy: true, BootID: "new"})
+		p.Done(Outcome{Kind: OutcomeRefused})
+		for range defaultProbationAnswers {
+			round(g, good())
+		}
+		Expect(g.Load()).To(Equal(Load{Limit: 2, State: host.StateCold}))
+	})
+}
+
 func TestProcessPaused(t *testing.T) {
 	for boot, wantWarm := range map[string]bool{testBoot: true, "boot-2": false, "": false} {
 		t.Run("answer from "+boot, func(t *testing.T) {
@@ -239,6 +252,30 @@
 	})
 }
 
+func TestCrashIsToldToTheOtherGates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		first, second := New(testConfig(), nil), New(testConfig(), nil)
+		p, err := admitNow(first, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(first.Crashes()).To(Receive())
+		for _, fp := range first.Suspects() {
+			second.Suspect(fp, time.Now())
+		}
+		p, err = admitNow(second, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(second.Crashes()).To(Receive())
+		Expect(second.Quarantine()).To(ConsistOf(uint64(7)), "two crashes in the service, one at each gate")
+		for _, fp := range second.Quarantine() {
+			first.Convict(fp, time.Now())
+		}
+		_, err = admitNow(first, Request{Fingerprint: 7})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+	})
+}
+
 func TestSuspectDoesNotStarveOthers(t *testing.T) {
 	warmGate(t, func(g *Gate) {
 		const suspectFP, busy, span = 5, 9, 20 * time.Second
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -12,6 +12,7 @@
 	"boragefall/internal/backend"
 	"boragefall/internal/caller"
 	"boragefall/internal/config"
+	"boragefall/internal/contract"
 	"boragefall/internal/control"
 	"boragefall/internal/dispatch"
 	"boragefall/internal/exchange"
@@ -123,8 +124,8 @@
 
 func newLedger(b boot) *ledger.Ledger { return ledger.New(ledger.Config{}, time.Time(b)) }
 
-func newNodeOwner(self host.Listing, b boot, client *control.Client) *owner {
-	return newOwner(self, time.Time(b), client)
+func newNodeOwner(self host.Listing, b boot, client *control.Client, g *gate.Gate) *owner {
+	return newOwner(self, time.Time(b), client, g)
 }
 
 func newDirectory(self host.Listing, book *routing.Book) *routing.Directory {
@@ -154,7 +155,7 @@
 	return spread.NewRunner(cfg, self, client, source, a, logger)
 }
 
-func newPolicy() *retry.Policy { return retry.NewPolicy(retry.Config{}) }
+func newPolicy() *retry.Policy { return retry.NewPolicy(retry.Config{MaxMoves: contract.MaxFences}) }
 
 func newHop(self host.Listing, s *state, g *gate.Gate, l *ledger.Ledger, o *owner, b *backend.Client, t *telemetry.Tracing, logger *log.Logger) *lasthop.Hop {
 	return lasthop.New(lasthop.Config{
