--- a/bench/retrystorm.go
+++ b/bench/retrystorm.go
@@ -94,9 +94,11 @@
 	pause(ctx, cfg.length)
 	s.enter(phaseStorm)
 	partner := workload.NewTally(s.fleet.Record)
-	runLoad(ctx, s.fleet.NewLoad(s.stormLoad(cfg), partner))()
+	storm := runLoad(ctx, s.fleet.NewLoad(s.stormLoad(cfg), partner))
+	pause(ctx, cfg.length)
 	s.enter(phaseAfter)
 	ended()
+	storm()
 	result := stormSide{
 		Phases: s.phases(phaseBefore, phaseStorm, phaseAfter), Partner: partner.Result(),
 		Crashes: s.fleet.Record.Crashes(),
