--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 }
 
 const (
-	patience = "60s"                  // of every look at a final state
+	patience = "40s"                  // of every look at a final state
 	around   = 500 * time.Millisecond // load before and after a fault
 	loadRate = 150                    // operations a second
 )
@@ -171,6 +171,11 @@
 	}
 }
 
+// awaitKeys waits until every gate takes keys minted now.
+func awaitKeys() {
+	ExpectWithOffset(1, fleet.WaitKeys(context.Background())).To(Succeed())
+}
+
 // expectServing waits until an operation of every kind gets a good answer.
 func expectServing() {
 	EventuallyWithOffset(1, func(g Gomega) {
--- a/test/fleet/leaving_test.go
+++ b/test/fleet/leaving_test.go
@@ -27,6 +27,7 @@
 
 var _ = Describe("what leaves", func() {
 	It("is a data centre that operators take out and bring back", func() {
+		awaitKeys()
 		result := during(workload.LoadConfig{}, func() {
 			from := time.Now()
 			fleet.MarkDataCentre(centre, true)
@@ -88,6 +89,7 @@
 	It("is a node that is stopped as planned, with requests in flight", func() {
 		member := serving("logbook")[0]
 		DeferCleanup(func() {
+			kill([]*workload.Member{member})
 			start([]*workload.Member{member})
 			expectServing()
 		})
@@ -108,6 +110,9 @@
 	})
 })
 
+// halfBody is, in bytes, more than an entry buffers before it sends a body on.
+const halfBody = 1 << 20
+
 // stayOut waits with hosts out and then expects that they got no new work past
 // the bound, though they had work before.
 func stayOut(from time.Time, leaving func(host.Listing) bool) {
@@ -153,6 +158,7 @@
 	u := &upload{id: id, body: writer, done: make(chan string, 1)}
 	request, err := http.NewRequest(http.MethodPost, "http://"+m.Node().CallersAddress()+"/logs/buoy-7", reader)
 	Expect(err).NotTo(HaveOccurred())
+	request.ContentLength = 2 * halfBody
 	request.Header.Set(standin.HeaderOperation, id)
 	request.Header.Set(contract.HeaderCaller, "service-boat")
 	go func() { u.done <- answer(request) }()
@@ -175,7 +181,7 @@
 }
 
 func (u *upload) half() {
-	_, err := io.WriteString(u.body, strings.Repeat("b", 64<<10))
+	_, err := io.WriteString(u.body, strings.Repeat("b", halfBody))
 	Expect(err).NotTo(HaveOccurred())
 }
 
--- a/test/fleet/servers_test.go
+++ b/test/fleet/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -21,10 +22,12 @@
 	It("turn cold without warning and crash once each at most", func() {
 		members := serving("status")
 		cold, crashes := fleet.Record.ColdOverloads(), fleet.Record.Crashes()
-		_, broken := loaded(workload.LoadConfig{}, func() {
-			Eventually(fleet.Warm, patience).Should(BeTrue())
+		// Only answers at a full limit warm a server, so the load is high.
+		load := workload.LoadConfig{Rate: 6 * loadRate, Operations: []workload.Operation{operation("lookup")}}
+		_, broken := loaded(load, func() {
+			Eventually(warm, patience).WithArguments(members).Should(BeTrue())
 			each(members, func(m *workload.Member) { m.Server.Cool() })
-			Eventually(fleet.Warm, patience).Should(BeTrue())
+			Eventually(warm, patience).WithArguments(members).Should(BeTrue())
 		})
 		Expect(fleet.Record.Crashes() - crashes).To(BeNumerically("<=", len(members)))
 		slots := fleet.Deployment.Size("status").Slots
@@ -102,3 +105,10 @@
 		})
 	}
 })
+
+// warm reports whether the gates hold all the members' servers for warm.
+func warm(members []*workload.Member) bool {
+	return !slices.ContainsFunc(members, func(m *workload.Member) bool {
+		return m.Node().Status().Gate.State != host.StateWarm.String()
+	})
+}
--- a/test/fleet/source_test.go
+++ b/test/fleet/source_test.go
@@ -107,6 +107,7 @@
 	})
 
 	It("loses a service and its routes in one version", func() {
+		awaitKeys()
 		files := fleet.Platform.Files()
 		DeferCleanup(func() {
 			fleet.Platform.Publish(files)
