--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -48,7 +48,7 @@
 		mark = markWrong
 	}
 	printLine(streams.Out, "%s %s (%s, %s) up %d s", mark, s.Host, s.DataCentre, s.Service, s.UpSeconds)
-	printLine(streams.Out, "  version    %s (%s), host list %d", s.Version, s.Hash, s.HostList)
+	printLine(streams.Out, "  version    %s (%s), host list %s", s.Version, s.Hash, s.HostListVersion)
 	printLine(streams.Out, "  source     %s, last contact %d ms ago, %d reads", s.Role, s.SourceAgeMs, s.SourceReads)
 	printLine(streams.Out, "  gate       %s, %d running, %d queued, limit %d", s.Gate.State, s.Gate.Running, s.Gate.Queued, s.Gate.Limit)
 	printLine(streams.Out, "  keys       %d in the ledger, lease for %.1f s", s.LedgerKeys, s.LeaseSeconds)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -14,30 +14,33 @@
 
 // Status is what a node knows of itself, as /status shows it.
 type Status struct {
-	Host          host.ID         `json:"host"`
-	DataCentre    string          `json:"dataCentre"`
-	Region        string          `json:"region"`
-	Service       string          `json:"service"`
-	UpSeconds     int64           `json:"upSeconds"`
-	Ready         bool            `json:"ready"`
-	Leaving       bool            `json:"leaving"`
-	Version       string          `json:"version"`
-	Hash          string          `json:"hash"`
-	Floor         string          `json:"floor"`
-	Validation    uint32          `json:"validation"`
-	HostList      uint64          `json:"hostListRevision"`
-	Role          string          `json:"role"`
-	SourceAgeMs   int64           `json:"sourceAgeMs"`
-	Rejected      []Rejected      `json:"rejected"`
-	Gate          GateStatus      `json:"gate"`
-	LedgerKeys    int             `json:"ledgerKeys"`
-	LeaseSeconds  float64         `json:"leaseSeconds"`
-	Members       int             `json:"members"`
-	ControlSent   int64           `json:"controlBytesSent"`
-	ControlGot    int64           `json:"controlBytesReceived"`
-	SourceReads   uint64          `json:"sourceReads"`
-	StaleReads    uint64          `json:"staleReads"`
-	SpreadDetails spread.Counters `json:"spread"`
+	Host       host.ID `json:"host"`
+	DataCentre string  `json:"dataCentre"`
+	Region     string  `json:"region"`
+	Service    string  `json:"service"`
+	UpSeconds  int64   `json:"upSeconds"`
+	Ready      bool    `json:"ready"`
+	Leaving    bool    `json:"leaving"`
+	Version    string  `json:"version"`
+	Hash       string  `json:"hash"`
+	Floor      string  `json:"floor"`
+	Validation uint32  `json:"validation"`
+	// HostList is the revision that all parts compare; HostListVersion shows
+	// it as epoch.revision, as the platform counts.
+	HostList        uint64          `json:"hostListRevision"`
+	HostListVersion string          `json:"hostListVersion"`
+	Role            string          `json:"role"`
+	SourceAgeMs     int64           `json:"sourceAgeMs"`
+	Rejected        []Rejected      `json:"rejected"`
+	Gate            GateStatus      `json:"gate"`
+	LedgerKeys      int             `json:"ledgerKeys"`
+	LeaseSeconds    float64         `json:"leaseSeconds"`
+	Members         int             `json:"members"`
+	ControlSent     int64           `json:"controlBytesSent"`
+	ControlGot      int64           `json:"controlBytesReceived"`
+	SourceReads     uint64          `json:"sourceReads"`
+	StaleReads      uint64          `json:"staleReads"`
+	SpreadDetails   spread.Counters `json:"spread"`
 }
 
 // Rejected is a version that failed its checks.
@@ -81,33 +84,43 @@
 	self := r.state.self
 	spreading := r.runner.Status()
 	return Status{
-		Host:          self.ID,
-		DataCentre:    string(self.Place.DataCentre),
-		Region:        string(self.Place.Region),
-		Service:       self.Service,
-		UpSeconds:     int64(time.Since(time.Time(r.boot)).Seconds()),
-		Ready:         r.ready(),
-		Leaving:       r.state.leaving(),
-		Version:       spreading.Config.String(),
-		Hash:          spreading.ConfigHash.String(),
-		Floor:         spreading.ConfigFloor.String(),
-		Validation:    config.ValidationNumber,
-		HostList:      r.state.list.Load().Revision,
-		Role:          spreading.Role,
-		SourceAgeMs:   spreading.SourceAge.Milliseconds(),
-		Rejected:      rejectedOf(spreading.Rejected),
-		Gate:          r.gateStatus(),
-		LedgerKeys:    r.ledger.Len(),
-		LeaseSeconds:  max(0, time.Until(r.owner.machine.LeaseUntil()).Seconds()),
-		Members:       len(r.registry.View().Members),
-		ControlSent:   r.counter.Sent(link.ClassControl),
-		ControlGot:    r.counter.Received(link.ClassControl),
-		SourceReads:   spreading.Counters.Reads,
-		StaleReads:    spreading.Counters.StaleReads,
-		SpreadDetails: spreading.Counters,
+		Host:            self.ID,
+		DataCentre:      string(self.Place.DataCentre),
+		Region:          string(self.Place.Region),
+		Service:         self.Service,
+		UpSeconds:       int64(time.Since(time.Time(r.boot)).Seconds()),
+		Ready:           r.ready(),
+		Leaving:         r.state.leaving(),
+		Version:         spreading.Config.String(),
+		Hash:            spreading.ConfigHash.String(),
+		Floor:           spreading.ConfigFloor.String(),
+		Validation:      config.ValidationNumber,
+		HostList:        r.state.list.Load().Revision,
+		HostListVersion: spreading.HostList.String(),
+		Role:            spreading.Role,
+		SourceAgeMs:     spreading.SourceAge.Milliseconds(),
+		Rejected:        rejectedOf(spreading.Rejected),
+		Gate:            r.gateStatus(),
+		LedgerKeys:      r.ledger.Len(),
+		LeaseSeconds:    r.leaseSeconds(),
+		Members:         len(r.registry.View().Members),
+		ControlSent:     r.counter.Sent(link.ClassControl),
+		ControlGot:      r.counter.Received(link.ClassControl),
+		SourceReads:     spreading.Counters.Reads,
+		StaleReads:      spreading.Counters.StaleReads,
+		SpreadDetails:   spreading.Counters,
 	}
 }
 
+// maxLeaseShown is what the status shows of a lease that needs no renewal: that
+// of the only host of a service.
+const maxLeaseShown = time.Hour
+
+func (r *statusReader) leaseSeconds() float64 {
+	left := time.Until(r.owner.machine.LeaseUntil())
+	return min(max(left, 0), maxLeaseShown).Seconds()
+}
+
 func (r *statusReader) gateStatus() GateStatus {
 	load := r.gate.Load()
 	return GateStatus{
