--- a/bench/process/fleet.go
+++ b/bench/process/fleet.go
@@ -90,12 +90,10 @@
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, n)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "find a free address")
+		var err error
+		if addresses[i], err = workload.FreeAddress(); err != nil {
+			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
 	}
 	return addresses, nil
 }
@@ -112,6 +110,8 @@
 		if err := f.startNode(n); err != nil {
 			return err
 		}
+		// One after the other, so that the machine's other work goes on.
+		time.Sleep(startGap)
 	}
 	return f.waitReady(ctx)
 }
@@ -165,6 +165,7 @@
 }
 
 const (
+	startGap   = 50 * time.Millisecond
 	readyLimit = 60 * time.Second
 	readyPoll  = 100 * time.Millisecond
 )
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -65,20 +65,17 @@
 func (m *Machine) HeartbeatReceived(h Heartbeat, sent, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h.Host == m.self.id || h.ViewRevision == 0 {
-		return
+	if h.Host == m.self.id || h.ViewRevision == 0 || h.Settled && h.Floor == 0 {
+		return // a settled host has a floor; without it the message proves nothing
 	}
 	m.followRevision(h)
 	p := m.peers[h.Host]
 	switch {
 	case p == nil || h.Boot > p.boot:
-		p = &peer{boot: h.Boot, contactSince: now, settled: h.Settled}
+		p = &peer{boot: h.Boot}
 		m.peers[h.Host] = p
 	case h.Boot < p.boot || !sent.After(p.sent) || h.ViewRevision < p.lastStep().revision:
 		return // an older process, or an answer that crossed a later one
-	case h.Settled != p.settled:
-		p.settled = h.Settled
-		p.steps = nil
 	}
 	p.report(h, sent, now)
 	m.advance(now)
@@ -95,6 +92,7 @@
 	if current := m.current(); current != nil {
 		h.ViewRevision = current.last
 		h.ViewHash = current.hash
+		h.ViewFirst = current.first
 	}
 	return h
 }
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -4,11 +4,13 @@
 
 // peer is what the answered heartbeats prove about another host's process.
 type peer struct {
-	boot    int64
+	boot  int64
+	floor uint64
+	// settled reports that the process counts in majorities. What it said before
+	// counts too then, since a process never takes an older view.
 	settled bool
-	floor   uint64
-	// contactSince is when the first answer of this process arrived.
-	contactSince time.Time
+	// settledSince is when the first answer that said so arrived.
+	settledSince time.Time
 	// sent is when the last answered request was sent.
 	sent time.Time
 	// steps holds the views that the process reported, oldest first.
@@ -18,6 +20,8 @@
 // step is a view that a peer reported in one or more answers in a row.
 type step struct {
 	revision, hash uint64
+	// first is the peer's own word since which revision it has held the set.
+	first uint64
 	// arrived is when the first of the answers arrived.
 	arrived time.Time
 	// sent is when the request of the last of them was sent.
@@ -26,13 +30,17 @@
 
 // report adds an answer. The caller has checked that it is newer than the last.
 func (p *peer) report(h Heartbeat, sent, now time.Time) {
+	if h.Settled && !p.settled {
+		p.settledSince = now
+	}
+	p.settled = h.Settled
 	p.sent = sent
 	p.floor = max(p.floor, h.Floor)
 	if n := len(p.steps); n > 0 && p.steps[n-1].revision == h.ViewRevision {
 		p.steps[n-1].sent = sent
 		return
 	}
-	p.steps = append(p.steps, step{revision: h.ViewRevision, hash: h.ViewHash, arrived: now, sent: sent})
+	p.steps = append(p.steps, step{revision: h.ViewRevision, hash: h.ViewHash, first: h.ViewFirst, arrived: now, sent: sent})
 }
 
 func (p *peer) lastStep() step {
@@ -56,15 +64,25 @@
 	if i < 0 || p.steps[i].hash != hash {
 		return time.Time{}, false
 	}
-	for i > 0 && p.steps[i-1].hash == hash && p.steps[i].arrived.Sub(p.steps[i-1].sent) < lease {
+	for i > 0 && p.steps[i-1].hash == hash && p.steps[i].follows(p.steps[i-1], lease) {
 		i--
 	}
 	return p.steps[i].arrived, true
 }
 
+// follows reports whether the process can't have spent a whole lease under
+// another view between two of its steps.
+func (s step) follows(earlier step, lease time.Duration) bool {
+	if s.hash == earlier.hash && s.first > 0 && s.first <= earlier.revision {
+		return true
+	}
+	return s.arrived.Sub(earlier.sent) < lease
+}
+
 // unbroken reports whether the process can't have spent a whole lease under a
-// view after revision that the known function doesn't know.
-func (p *peer) unbroken(revision uint64, lease time.Duration, known func(step) bool) bool {
+// view after revision that the known function doesn't know. Where its first
+// step is after revision, only trusted lets it count.
+func (p *peer) unbroken(revision uint64, lease time.Duration, known func(step) bool, trusted bool) bool {
 	var last *step
 	for i := range p.steps {
 		s := &p.steps[i]
@@ -72,7 +90,7 @@
 			if !known(*s) {
 				continue
 			}
-			if last == nil || s.arrived.Sub(last.sent) >= lease {
+			if last == nil && !trusted || last != nil && !s.follows(*last, lease) {
 				return false
 			}
 		}
