--- a/internal/link/coalescing.go
+++ b/internal/link/coalescing.go
@@ -4,6 +4,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"time"
 )
 
 // maxPendingBytes bounds what a connection holds back; then writers wait.
@@ -16,10 +17,11 @@
 	net.Conn
 
 	mu      sync.Mutex
-	changed sync.Cond // pending, err or closed changed
+	changed sync.Cond // pending, sending, err or closed changed
 	pending []byte
 	spare   []byte
 	err     error
+	sending bool // a batch is being written
 	closed  bool
 }
 
@@ -50,15 +52,36 @@
 	return len(p), nil
 }
 
-// Close drops what is pending.
+// closeWait bounds how long Close waits for what is pending to be sent.
+const closeWait = 500 * time.Millisecond
+
+// Close sends what is pending, within a short time, and closes.
 func (c *coalescingConn) Close() error {
 	c.mu.Lock()
+	timer := time.AfterFunc(closeWait, c.abandon)
+	defer timer.Stop()
+	for c.unsent() && !c.closed {
+		c.changed.Wait()
+	}
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// abandon gives up what is pending, so that no writer and no Close waits.
+func (c *coalescingConn) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.changed.Broadcast()
+}
+
+// unsent reports whether bytes were taken that may still be sent.
+func (c *coalescingConn) unsent() bool {
+	return c.err == nil && (len(c.pending) > 0 || c.sending)
+}
+
 func (c *coalescingConn) flush() {
 	for {
 		batch, ok := c.take()
@@ -87,6 +110,7 @@
 		return nil, false
 	}
 	batch := c.pending
+	c.sending = true
 	c.pending = c.spare[:0]
 	c.spare = nil
 	if len(batch) > maxPendingBytes {
@@ -99,11 +123,14 @@
 func (c *coalescingConn) give(batch []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sending = false
 	if cap(batch) <= streamBufferBytes*4 {
 		c.spare = batch
 	}
 	if err != nil {
 		c.err = err
-		c.changed.Broadcast()
+	}
+	if err != nil || len(c.pending) == 0 {
+		c.changed.Broadcast() // Close may wait for the end
 	}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -189,6 +189,22 @@
 		Eventually(written, "20s").Should(BeClosed())
 	})
 
+	It("sends what is pending before it closes", func() {
+		client, server := net.Pipe()
+		DeferCleanup(server.Close)
+		conn := link.Coalesce(client)
+		tail := make([]byte, 1000)
+		_, err := conn.Write(tail)
+		Expect(err).NotTo(HaveOccurred())
+		got := make(chan int, 1)
+		go func() {
+			data, _ := io.ReadAll(server)
+			got <- len(data)
+		}()
+		Expect(conn.Close()).To(Succeed())
+		Eventually(got, "20s").Should(Receive(Equal(len(tail))))
+	})
+
 	It("reports a broken connection to the next write, and frees writers on close", func() {
 		client, server := net.Pipe()
 		conn := link.Coalesce(client)
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -93,7 +93,7 @@
 		Region:      "chile-central",
 		DataCentres: []datacentre.ID{"valparaiso", "rancagua", "talca", "santiago"},
 		Services: []ServiceSize{
-			{Name: "results", Hosts: 5, Slots: 6, Connections: 130, ColdLimit: 1, WorkTime: workTime},
+			{Name: "results", Hosts: 5, Slots: 6, Connections: 130, ColdLimit: 2, WorkTime: workTime},
 			{Name: "clocking", Hosts: 4, Slots: 6, Connections: 130, ColdLimit: 1, WorkTime: workTime},
 			{Name: "release", Hosts: 4, Slots: 6, Connections: 130, ColdLimit: 1, WorkTime: workTime},
 		},
