--- a/test/fleet/servers_test.go
+++ b/test/fleet/servers_test.go
@@ -89,6 +89,7 @@
 		{Name: "poison-lookup", Service: "status", Caller: "depot", Method: http.MethodGet, Path: "/status/poison", Poison: true, Idempotent: true},
 	} {
 		It("crash by a "+poison.Name+" that its caller sends again, two at most", func() {
+			awaitKeys()
 			result := during(workload.LoadConfig{}, func() {
 				tally := workload.NewTally(fleet.Record)
 				load := fleet.NewLoad(workload.LoadConfig{MaxTries: 20}, tally)
