--- a/internal/routing/candidateset.go
+++ b/internal/routing/candidateset.go
@@ -76,11 +76,17 @@
 }
 
 // reach returns how far away the choice may go: the nearest distance whose
-// utilisation is below the threshold, given in percent.
+// utilisation is below the threshold, given in percent. Cold servers count only
+// where all are cold: near ones must not draw all requests to themselves when
+// their data centre returns.
 func (s *candidateSet) reach(percent int64) (int, bool) {
 	var load, capacity [distances]int64
+	allCold := s.allCold()
 	for i := range s.candidates[:s.n] {
 		c := &s.candidates[i]
+		if c.cold && !allCold {
+			continue
+		}
 		load[c.distance] += c.load
 		capacity[c.distance] += c.capacity
 	}
@@ -92,8 +98,17 @@
 	return 0, false
 }
 
+func (s *candidateSet) allCold() bool {
+	for i := range s.candidates[:s.n] {
+		if !s.candidates[i].cold {
+			return false
+		}
+	}
+	return true
+}
+
 // pick chooses among the nearest candidates that have room, or among all when
-// none has.
+// none has. Cold servers that are nearer than those get their part, too.
 func (s *candidateSet) pick(p *Pool, r rand.Source) *candidate {
 	if s.n == 0 {
 		return nil
@@ -105,12 +120,11 @@
 	var warm, cold group
 	for i := range s.candidates[:s.n] {
 		c := &s.candidates[i]
-		if ok && int(c.distance) != distance {
-			continue
-		}
-		if c.cold {
+		switch {
+		case ok && int(c.distance) > distance:
+		case c.cold:
 			cold.add(i, c.capacity)
-		} else {
+		case !ok || int(c.distance) == distance:
 			warm.add(i, c.capacity)
 		}
 	}
--- a/internal/routing/spread_test.go
+++ b/internal/routing/spread_test.go
@@ -167,3 +167,29 @@
 	_, ok = d.Pool("s")
 	g.Expect(ok).To(BeFalse())
 }
+
+// TestReturnedDataCentreGetsItsPartOnly has only cold servers near the sender:
+// they get the part of the requests that their capacity is of the whole.
+func TestReturnedDataCentreGetsItsPartOnly(t *testing.T) {
+	g := NewWithT(t)
+	servers := warmServers(2, 0, 1)
+	for i := range 2 {
+		servers[i].State, servers[i].Capacity = host.StateCold, 2
+	}
+	p := NewPool(here, "me", servers, PoolConfig{})
+	source, near := rand.NewPCG(1, 2), 0
+	for range 2400 {
+		s, _ := p.Choose(source, nil, start)
+		if s.Place == placeOf(0) {
+			near++
+		}
+		s.Stats.Finish(Outcome{At: start})
+	}
+	g.Expect(near).To(BeNumerically("~", 400, 60)) // 4 of a capacity of 24
+	for i := range 2 {
+		servers[i+2].State = host.StateCold
+	}
+	s, ok := NewPool(here, "me", servers, PoolConfig{}).Choose(source, nil, start)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(s.Place).To(Equal(placeOf(0)), "where all are cold, near ones come first")
+}
