--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace"
 
 	"boragefall/internal/backend"
 	"boragefall/internal/contract"
@@ -128,6 +129,18 @@
 		Expect(answer.Trailer()).To(Equal(http.Header{"T1": {"v1"}}))
 	})
 
+	It("continues the trace with the span of this hop", func() {
+		client, _ := start(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, r.Header.Get("Traceparent"))
+		})
+		span := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}})
+		r := order("x")
+		r.Header.Set("Traceparent", "00-ff000000000000000000000000000000-ff00000000000000-01")
+		answer, err := client.Do(trace.ContextWithSpanContext(context.Background(), span), r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(answer)).To(Equal("00-01000000000000000000000000000000-0200000000000000-00"))
+	})
+
 	It("takes a probe's word only as far as it goes", func() {
 		client, _ := start(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/health" {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"boragefall/internal/contract"
 	"boragefall/internal/verdict"
 )
@@ -86,6 +88,7 @@
 	request.Header.Set(contract.HeaderHops, strconv.Itoa(r.Hops))
 	remaining := r.Remaining(time.Now()).Milliseconds()
 	request.Header.Set(contract.HeaderDeadline, strconv.FormatInt(max(remaining, 1), 10))
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "")
 	}
