--- /dev/null
+++ b/internal/admission/machine.go
@@ -0,0 +1,355 @@
+// Package admission decides, beside one backend server, which request starts
+// when. The server's slots and the rate that it bears while it is cold are
+// held exactly, since every request for the server passes here.
+//
+// Machine is the decision alone, without clocks and goroutines; Gate puts it to
+// work.
+package admission
+
+import (
+	"time"
+
+	"boragefall/internal/verdict"
+)
+
+const (
+	// window is the span in which the starts at a cold server are counted; the
+	// platform states the cold rate for each second.
+	window = time.Second
+	// queuePerSlot bounds the waiting requests: work for four turns of all slots
+	// is late whatever the objective is.
+	queuePerSlot = 4
+	// learnRate is the weight of a new sample in the moving means.
+	learnRate = 0.1
+	// minRetryAfter is the least time to come back after a refusal; it is the
+	// way of an answer and a new connection.
+	minRetryAfter = 50 * time.Millisecond
+	// turnOver is how much earlier than the mean service time a refused request
+	// may come back: slots free up all the time.
+	turnOver = 2
+)
+
+// Request is what the decision knows of a request.
+type Request struct {
+	// Class groups requests that take about the same time.
+	Class string
+	// Priority is the rank; 0 goes first.
+	Priority int
+	// Deadline is the time after which an answer is useless.
+	Deadline time.Time
+	// Objective is the time until which an answer is most useful.
+	Objective time.Time
+	// Settle reports that the caller prefers a late answer to a refusal.
+	Settle bool
+}
+
+// Ticket is a request that was taken in.
+type Ticket struct {
+	request Request
+	since   time.Time
+	started time.Time
+	// decided receives nil when the request may start, or the refusal.
+	decided chan *verdict.Error
+}
+
+// Machine decides for one server. It is not safe for concurrent use.
+type Machine struct {
+	slots    int
+	coldRate float64
+	running  int
+	waiting  []*Ticket
+	// starts holds the times of the starts within the last window.
+	starts []time.Time
+	// coldUntil is when the server is warm by the best knowledge.
+	coldUntil time.Time
+	// held reports that nothing may start until the server was heard of.
+	held bool
+	// down reports that the server takes no connections.
+	down bool
+	// closed reports that the server gets no new work.
+	closed  bool
+	service mean
+	classes map[string]*mean
+	failing mean
+}
+
+// NewMachine returns a machine whose server was not heard of yet.
+func NewMachine(slots int, coldRate float64) *Machine {
+	return &Machine{slots: max(slots, 1), coldRate: coldRate, held: true, classes: map[string]*mean{}}
+}
+
+// Offer takes a request in or refuses it.
+func (m *Machine) Offer(r Request, now time.Time) (*Ticket, *verdict.Error) {
+	// Proof of NotRun for each refusal: only a ticket that was started leads to
+	// a send, and this request gets none.
+	if m.closed {
+		return nil, verdict.Refuse(verdict.ReasonLeaving, minRetryAfter)
+	}
+	if m.down {
+		return nil, verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
+	}
+	wait := m.expectedWait(r.Priority, now)
+	finish := now.Add(wait + m.typical(r.Class))
+	full := len(m.waiting) >= queuePerSlot*m.slots
+	late := wait > 0 && finish.After(r.Objective) && !r.Settle
+	hopeless := wait > 0 && finish.After(r.Deadline)
+	if full || late || hopeless {
+		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(wait))
+	}
+	t := &Ticket{request: r, since: now, decided: make(chan *verdict.Error, 1)}
+	m.waiting = append(m.waiting, t)
+	return t, nil
+}
+
+// Next starts what may start and refuses what can't finish any more. It
+// returns when to call it again, or the zero time when only an event changes
+// anything.
+func (m *Machine) Next(now time.Time) time.Time {
+	m.refuseHopeless(now)
+	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < m.slots {
+		if at := m.coldWait(now); at.After(now) {
+			return at
+		}
+		t := m.pop(now)
+		t.started = now
+		m.running++
+		m.noteStart(now)
+		t.decided <- nil
+	}
+	return time.Time{}
+}
+
+// Done ends a started ticket. failed reports that the server did not serve it.
+func (m *Machine) Done(t *Ticket, took time.Duration, failed bool) {
+	m.running--
+	if failed {
+		m.failing.add(1)
+		return
+	}
+	m.failing.add(0)
+	m.learn(t.request.Class, took)
+}
+
+// Outlasted notes that a request was given up after a time: the server is at
+// least that slow.
+func (m *Machine) Outlasted(t *Ticket, took time.Duration) {
+	m.running--
+	if took > m.typical(t.request.Class) {
+		m.learn(t.request.Class, took)
+	}
+}
+
+// Release ends a started ticket that was never sent.
+func (m *Machine) Release() {
+	m.running--
+}
+
+// Withdraw takes a waiting ticket out. It reports false when it was decided.
+func (m *Machine) Withdraw(t *Ticket) bool {
+	for i, w := range m.waiting {
+		if w == t {
+			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Hold keeps new work back until Proved is called.
+func (m *Machine) Hold() {
+	m.held = true
+}
+
+// Down notes that the server takes no connections: what waits is refused, and
+// so is new work until Proved is called.
+func (m *Machine) Down() {
+	m.held, m.down = true, true
+	m.refuseWaiting(verdict.ReasonUnreachable)
+}
+
+// Proved notes that the server was heard of, and for how long it is cold.
+func (m *Machine) Proved(coldFor time.Duration, now time.Time) {
+	m.held, m.down = false, false
+	m.coldUntil = now.Add(coldFor)
+}
+
+// ColdUntil notes a later word about how long the server is cold.
+func (m *Machine) ColdUntil(at time.Time) {
+	if at.After(m.coldUntil) {
+		m.coldUntil = at
+	}
+}
+
+// SetLimits takes in the server's slots and cold rate.
+func (m *Machine) SetLimits(slots int, coldRate float64) {
+	if slots > 0 {
+		m.slots = slots
+	}
+	if coldRate > 0 {
+		m.coldRate = coldRate
+	}
+}
+
+// SetClosed stops new work, and refuses what waits, or permits it again.
+func (m *Machine) SetClosed(closed bool) {
+	m.closed = closed
+	if closed {
+		m.refuseWaiting(verdict.ReasonLeaving)
+	}
+}
+
+func (m *Machine) refuseWaiting(reason verdict.Reason) {
+	for _, t := range m.waiting {
+		t.decided <- verdict.Refuse(reason, minRetryAfter)
+	}
+	m.waiting = nil
+}
+
+// refuseHopeless answers the waiting requests that can't finish in time.
+func (m *Machine) refuseHopeless(now time.Time) {
+	kept := m.waiting[:0]
+	for _, t := range m.waiting {
+		if now.Add(m.typical(t.request.Class) / turnOver).After(t.request.Deadline) {
+			t.decided <- verdict.Refuse(m.busyReason(now), minRetryAfter)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(m.waiting[len(kept):])
+	m.waiting = kept
+}
+
+// pop takes out the waiting request that goes first: by priority, then those
+// that can still meet their objective, then the earliest objective.
+func (m *Machine) pop(now time.Time) *Ticket {
+	best := 0
+	for i := 1; i < len(m.waiting); i++ {
+		if m.before(m.waiting[i], m.waiting[best], now) {
+			best = i
+		}
+	}
+	t := m.waiting[best]
+	m.waiting = append(m.waiting[:best], m.waiting[best+1:]...)
+	return t
+}
+
+func (m *Machine) before(a, b *Ticket, now time.Time) bool {
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority < b.request.Priority
+	}
+	lateA, lateB := m.late(a, now), m.late(b, now)
+	if lateA != lateB {
+		return lateB
+	}
+	return a.request.Objective.Before(b.request.Objective)
+}
+
+func (m *Machine) late(t *Ticket, now time.Time) bool {
+	return now.Add(m.typical(t.request.Class)).After(t.request.Objective)
+}
+
+// expectedWait estimates how long a new request of a priority waits.
+func (m *Machine) expectedWait(priority int, now time.Time) time.Duration {
+	ahead := 0
+	for _, t := range m.waiting {
+		if t.request.Priority <= priority {
+			ahead++
+		}
+	}
+	wait := time.Duration(0)
+	if busy := m.running + ahead - m.slots + 1; busy > 0 {
+		wait = time.Duration(busy) * m.service.duration() / time.Duration(m.slots)
+	}
+	if m.cold(now) && m.coldRate > 0 {
+		wait = max(wait, max(m.coldWait(now).Sub(now), 0)+time.Duration(float64(ahead)/m.coldRate*float64(time.Second)))
+	}
+	return wait
+}
+
+func (m *Machine) cold(now time.Time) bool {
+	return now.Before(m.coldUntil)
+}
+
+// coldWait returns when a cold server may start one more request: at most the
+// cold rate in any window, and not all of it at once.
+func (m *Machine) coldWait(now time.Time) time.Time {
+	if !m.cold(now) || m.coldRate <= 0 {
+		return now
+	}
+	m.forget(now)
+	at := now
+	if n := len(m.starts); n > 0 {
+		gap := time.Duration(float64(window) / m.coldRate / 2)
+		at = later(at, m.starts[n-1].Add(gap))
+		if limit := max(int(m.coldRate), 1); n >= limit {
+			at = later(at, m.starts[n-limit].Add(window))
+		}
+	}
+	return at
+}
+
+func (m *Machine) noteStart(now time.Time) {
+	m.forget(now)
+	m.starts = append(m.starts, now)
+}
+
+func (m *Machine) forget(now time.Time) {
+	for len(m.starts) > 0 && now.Sub(m.starts[0]) >= window {
+		m.starts = m.starts[1:]
+	}
+}
+
+func (m *Machine) busyReason(now time.Time) verdict.Reason {
+	if m.held || m.cold(now) {
+		return verdict.ReasonCold
+	}
+	return verdict.ReasonOverloaded
+}
+
+func (m *Machine) retryAfter(wait time.Duration) time.Duration {
+	return max(wait/turnOver, minRetryAfter)
+}
+
+func (m *Machine) learn(class string, took time.Duration) {
+	m.service.add(took.Seconds())
+	known := m.classes[class]
+	if known == nil {
+		known = &mean{}
+		m.classes[class] = known
+	}
+	known.add(took.Seconds())
+}
+
+// typical is the time that a request of a class takes; 0 while unknown.
+func (m *Machine) typical(class string) time.Duration {
+	if known := m.classes[class]; known != nil {
+		return known.duration()
+	}
+	return m.service.duration()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// mean is an exponentially weighted moving mean that starts at its first
+// sample.
+type mean struct {
+	value float64
+	known bool
+}
+
+func (m *mean) add(sample float64) {
+	if !m.known {
+		m.value, m.known = sample, true
+		return
+	}
+	m.value += learnRate * (sample - m.value)
+}
+
+func (m *mean) duration() time.Duration {
+	return time.Duration(m.value * float64(time.Second))
+}
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,229 @@
+// Package balance chooses the backend server that a request is sent to. A
+// choice is a hint: the gate beside the server decides whether it runs.
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"boragefall/internal/catalog"
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/mesh"
+)
+
+const (
+	// crossCostPerKB is what a kilobyte between data centres weighs against
+	// waiting: such bytes are billed, those inside one are not.
+	crossCostPerKB = 5 * time.Millisecond
+	// answerKB is the size of an answer that is assumed.
+	answerKB = 1.5
+	// crossDelay is the way between data centres and back.
+	crossDelay = 2 * time.Millisecond
+	// guessedService is the time of a request at a server that nothing is known of.
+	guessedService = 50 * time.Millisecond
+	// loadFades is the time in which what a gate told of its load loses most of
+	// its worth.
+	loadFades = time.Second
+	// serviceFades is the same for a server's pace, which changes more slowly.
+	serviceFades = 4 * time.Second
+	// crowding weighs a busy server with free slots against an idle one; servers
+	// slow down towards their last slots.
+	crowding = 0.4
+	// failingCost is what a server that fails every request weighs.
+	failingCost = 2 * time.Second
+	// suspectCost is what a server weighs whose record went with the store.
+	suspectCost = 100 * time.Millisecond
+	// spread is the share by which weights are varied, so that entries that know
+	// the same do not all choose the same.
+	spread = 0.15
+	// coldShare is the part of a cold server's rate that all entries together
+	// plan to use.
+	coldShare = 0.9
+	// forgetAfter is how long an unlisted server's state is kept.
+	forgetAfter = 30 * time.Second
+)
+
+// Request is what the choice knows of a request.
+type Request struct {
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
+	// Tried holds the servers that are not to be chosen again.
+	Tried []mesh.ServerID
+	// ColdRate is the rate in requests a second that a cold server bears.
+	ColdRate float64
+	// Entries is the number of nodes that share the servers.
+	Entries int
+}
+
+// Balancer chooses for one node. It is safe for concurrent use.
+type Balancer struct {
+	dataCentre string
+	random     func() float64
+
+	mu      sync.Mutex
+	servers map[mesh.ServerID]*server
+	swept   time.Time
+}
+
+// server is what this node knows of a server itself.
+type server struct {
+	outstanding int
+	load        contract.Load
+	loadAt      time.Time
+	sentSince   int
+	avoidUntil  time.Time
+	// tokens are the requests that may go to the server while it is cold.
+	tokens  float64
+	fillAt  time.Time
+	usedAt  time.Time
+	service time.Duration
+}
+
+// New returns a balancer of a node in a data centre.
+func New(dataCentre string) *Balancer {
+	return &Balancer{dataCentre: dataCentre, random: rand.Float64, servers: map[mesh.ServerID]*server{}}
+}
+
+// Choose returns the best of the listed servers and counts the request as
+// outstanding there until Finish. It returns nil when every server was tried.
+func (b *Balancer) Choose(listed []*catalog.Listing, r Request, now time.Time) *catalog.Listing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	usual := b.usualService(listed)
+	var best *catalog.Listing
+	bestWeight := math.Inf(1)
+	for _, l := range listed {
+		if slices.Contains(r.Tried, l.ID) {
+			continue
+		}
+		weight := b.weigh(l, r, usual, now)
+		if best == nil || weight < bestWeight {
+			best, bestWeight = l, weight
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	s := b.of(best.ID, now)
+	s.outstanding++
+	s.sentSince++
+	s.tokens = max(s.tokens-1, 0)
+	return best
+}
+
+// Finish ends an outstanding request. load is nil when the gate told none.
+func (b *Balancer) Finish(id mesh.ServerID, load *contract.Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(id, now)
+	s.outstanding--
+	if load == nil {
+		return
+	}
+	s.load, s.loadAt, s.sentSince = *load, now, 0
+	if load.Service > 0 {
+		s.service = load.Service
+	}
+}
+
+// Avoid keeps a server from being chosen for a time while there are others.
+func (b *Balancer) Avoid(id mesh.ServerID, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id, now).avoidUntil = until
+}
+
+func (b *Balancer) of(id mesh.ServerID, now time.Time) *server {
+	s := b.servers[id]
+	if s == nil {
+		s = &server{tokens: b.random(), fillAt: now}
+		b.servers[id] = s
+	}
+	s.usedAt = now
+	return s
+}
+
+// sweep forgets servers that were not looked at for a time.
+func (b *Balancer) sweep(now time.Time) {
+	if now.Sub(b.swept) < forgetAfter {
+		return
+	}
+	b.swept = now
+	for id, s := range b.servers {
+		if s.outstanding <= 0 && now.Sub(s.usedAt) > forgetAfter {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// usualService is the mean pace of the listed servers.
+func (b *Balancer) usualService(listed []*catalog.Listing) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, l := range listed {
+		if s := b.servers[l.ID]; s != nil && s.service > 0 {
+			sum += s.service
+			count++
+		}
+	}
+	if count == 0 {
+		return guessedService
+	}
+	return sum / time.Duration(count)
+}
+
+// weigh returns the expected time until an answer in seconds, with what else
+// speaks against a server added as time.
+func (b *Balancer) weigh(l *catalog.Listing, r Request, usual time.Duration, now time.Time) float64 {
+	s := b.of(l.ID, now)
+	age := now.Sub(s.loadAt)
+	service := usual
+	if s.service > 0 {
+		service += time.Duration(float64(s.service-usual) * fade(age, serviceFades))
+	}
+	slots := max(l.Slots, 1)
+	told := float64(s.load.Running+s.load.Queued) * fade(age, loadFades)
+	busy := max(told+float64(s.sentSince), float64(s.outstanding))
+	weight := service.Seconds() * (1 + crowding*min(busy/float64(slots), 1))
+	if over := busy + 1 - float64(slots); over > 0 {
+		weight += service.Seconds() * over / float64(slots)
+	}
+	weight += failingCost.Seconds() * s.load.Failing * fade(age, serviceFades)
+	if l.DataCentre != b.dataCentre {
+		kilobytes := float64(r.BodyBytes)/1024 + answerKB
+		weight += crossDelay.Seconds() + crossCostPerKB.Seconds()*kilobytes
+	}
+	if l.Suspect {
+		weight += suspectCost.Seconds()
+	}
+	weight *= 1 + spread*(2*b.random()-1)
+	return weight + b.reserve(l, s, r, now)
+}
+
+// reserve is the weight that keeps a server for the time when no other is left.
+func (b *Balancer) reserve(l *catalog.Listing, s *server, r Request, now time.Time) float64 {
+	const lastChoice, secondChoice = 1000, 100 // beyond every time of a request in seconds
+	unusable := s.load.State == host.StateLeaving || s.load.State == host.StateDown
+	if now.Before(s.avoidUntil) || unusable && now.Sub(s.loadAt) < loadFades {
+		return lastChoice
+	}
+	cold := now.Before(l.ColdUntil) || s.load.State == host.StateCold && now.Sub(s.loadAt) < loadFades
+	if !cold || r.ColdRate <= 0 {
+		return 0
+	}
+	rate := coldShare * r.ColdRate / float64(max(r.Entries, 1))
+	s.tokens = min(s.tokens+rate*now.Sub(s.fillAt).Seconds(), 1)
+	s.fillAt = now
+	if s.tokens < 1 {
+		return secondChoice
+	}
+	return 0
+}
+
+func fade(age, within time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(within))
+}
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -3,29 +3,10 @@
 import (
 	"crypto/sha256"
 	"io"
-	"net/http"
-	"time"
-
-	"github.com/gin-gonic/gin"
 
 	"boragefall/internal/intake"
 )
 
-// bodySource reads a caller's body under read deadlines.
-type bodySource struct {
-	io.Reader
-	controller *http.ResponseController
-}
-
-func newBodySource(c *gin.Context) bodySource {
-	return bodySource{Reader: c.Request.Body, controller: http.NewResponseController(c.Writer)}
-}
-
-// SetReadDeadline bounds the reads of the connection.
-func (s bodySource) SetReadDeadline(t time.Time) error {
-	return s.controller.SetReadDeadline(t)
-}
-
 // body yields a caller's body once for each attempt.
 type body struct {
 	*intake.Body
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -13,6 +13,7 @@
 	"boragefall/internal/config"
 	"boragefall/internal/contract"
 	"boragefall/internal/idempotency"
+	"boragefall/internal/intake"
 	"boragefall/internal/routing"
 	"boragefall/internal/verdict"
 )
@@ -132,7 +133,7 @@
 // takeBody reads the body before any server's slot is taken, as far as the
 // memory for it goes.
 func (x *exchange) takeBody() (*body, error) {
-	taken, err := x.handler.cfg.Bodies.Take(newBodySource(x.c), x.c.Request.ContentLength)
+	taken, err := x.handler.cfg.Bodies.Take(intake.NewHTTPSource(x.c.Writer, x.c.Request), x.c.Request.ContentLength)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,320 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"boragefall/internal/mesh"
+)
+
+// ReturnGrace is how long after the store's return a server whose record
+// lapsed meanwhile may take to register again. The platform states two
+// seconds; the rest is for the event's way to this node.
+const ReturnGrace = 2500 * time.Millisecond
+
+// Catalog applies items of the store. It is safe for concurrent use.
+type Catalog struct {
+	decoder Decoder
+	logger  *log.Logger
+	view    atomic.Pointer[View]
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	config   *mesh.Config
+	table    *mesh.Table
+	servers  map[mesh.ServerID]*Listing
+	// lapsing holds the time from which a suspect server counts as gone.
+	lapsing   map[mesh.ServerID]time.Time
+	evacuated map[string]bool
+	// lost reports that the store does not answer this node; doubtUntil is the
+	// time until which a record's end may be a lapse.
+	lost       bool
+	doubtUntil time.Time
+	listeners  []func(*View)
+}
+
+// New returns an empty catalog.
+func New(decoder Decoder, logger *log.Logger) *Catalog {
+	c := &Catalog{
+		decoder:   decoder,
+		logger:    logger,
+		items:     map[string]Item{},
+		servers:   map[mesh.ServerID]*Listing{},
+		lapsing:   map[mesh.ServerID]time.Time{},
+		evacuated: map[string]bool{},
+	}
+	c.publish()
+	return c
+}
+
+// View returns what is known now.
+func (c *Catalog) View() *View {
+	return c.view.Load()
+}
+
+// OnChange adds a function that is called with each new view, in order. It is
+// called under the catalog's lock and must not call back.
+func (c *Catalog) OnChange(listener func(*View)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, listener)
+	listener(c.view.Load())
+}
+
+// Apply takes events in. revision is the one that the events reach up to.
+func (c *Catalog) Apply(events []Item, revision uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := false
+	for _, item := range events {
+		changed = c.apply(item, now) || changed
+	}
+	c.reached(revision)
+	c.expire(now)
+	if changed {
+		c.publish()
+	}
+}
+
+// Replace takes a complete list in, valid at revision: what it lacks was
+// deleted unless it changed later.
+func (c *Catalog) Replace(items []Item, revision uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[item.Key] = true
+	}
+	c.dropMissing(listed, revision, now)
+	for _, item := range items {
+		c.apply(item, now)
+	}
+	c.reached(revision)
+	c.expire(now)
+	c.publish()
+}
+
+// Merge takes in a peer's copy: its items beyond this node's revision and all
+// keys that exist at the peer's revision.
+func (c *Catalog) Merge(items []Item, keys []string, revision uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision <= c.revision {
+		return
+	}
+	listed := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		listed[key] = true
+	}
+	c.dropMissing(listed, revision, now)
+	for _, item := range items {
+		c.apply(item, now)
+	}
+	c.reached(revision)
+	c.publish()
+}
+
+// Since returns the items beyond a revision, all keys and the revision that
+// they are valid at.
+func (c *Catalog) Since(revision uint64) (items []Item, keys []string, at uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, item := range c.items {
+		if item.Deleted {
+			continue
+		}
+		keys = append(keys, key)
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, keys, c.revision
+}
+
+// StoreLost notes that the store does not answer: records that end from now on
+// may have lapsed.
+func (c *Catalog) StoreLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = true
+}
+
+// StoreBack notes that the store answers. It reports whether it was lost.
+func (c *Catalog) StoreBack(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lost {
+		return false
+	}
+	c.lost = false
+	c.doubtUntil = now.Add(ReturnGrace)
+	for id := range c.lapsing {
+		c.lapsing[id] = c.doubtUntil
+	}
+	return true
+}
+
+// Tick removes the suspect servers whose time is over. Call it a few times a
+// second.
+func (c *Catalog) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expire(now) {
+		c.publish()
+	}
+}
+
+func (c *Catalog) reached(revision uint64) {
+	c.revision = max(c.revision, revision)
+}
+
+// apply takes one item in unless it is older than what is known of its key.
+func (c *Catalog) apply(item Item, now time.Time) bool {
+	if known, ok := c.items[item.Key]; ok && item.Revision <= known.Revision {
+		return false
+	}
+	c.items[item.Key] = item
+	record, err := c.decoder.Decode(item)
+	if err != nil {
+		c.logger.Warn().Str("part", "catalog").Str("key", item.Key).Uint64("revision", item.Revision).
+			Err(err).Msg("unusable item")
+	}
+	switch record.Subject {
+	case SubjectConfig:
+		c.applyConfig(record.Config, item.Revision)
+	case SubjectServer:
+		c.applyServer(record, item, err != nil, now)
+	case SubjectEvacuation:
+		c.applyEvacuation(record.DataCentre, !item.Deleted, item.Revision)
+	default:
+		return false
+	}
+	return true
+}
+
+// applyConfig swaps the configuration. A version that can't be read, or is not
+// newer, leaves the one in force.
+func (c *Catalog) applyConfig(config *mesh.Config, revision uint64) {
+	if config == nil || c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.config, c.table = config, mesh.NewTable(config)
+	c.logger.Info().Str("part", "catalog").Uint64("version", config.Version).Uint64("revision", revision).
+		Int("routes", len(config.Routes)).Msg("configuration in force")
+}
+
+func (c *Catalog) applyServer(record Record, item Item, malformed bool, now time.Time) {
+	id := record.ServerID
+	if record.Server == nil {
+		c.endServer(id, item.Revision, malformed, now)
+		return
+	}
+	delete(c.lapsing, id)
+	listing := &Listing{Server: record.Server, Revision: item.Revision, Joined: now}
+	if record.Server.ColdFor > 0 {
+		listing.ColdUntil = now.Add(record.Server.ColdFor)
+	}
+	old := c.servers[id]
+	if old != nil && old.SameIncarnation(record.Server) {
+		listing.Joined = old.Joined
+	}
+	c.servers[id] = listing
+	if old == nil || old.State != listing.State || !old.SameIncarnation(record.Server) {
+		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Str("service", listing.Service).
+			Str("address", listing.Address).Bool("draining", listing.State == mesh.ServerDraining).
+			Dur("cold_for", record.Server.ColdFor).Uint64("revision", item.Revision).Msg("server registered")
+	}
+}
+
+// endServer removes a server, or makes it suspect when its record may have
+// lapsed only because the store was away.
+func (c *Catalog) endServer(id mesh.ServerID, revision uint64, malformed bool, now time.Time) {
+	known, ok := c.servers[id]
+	if !ok {
+		return
+	}
+	if !malformed && known.State == mesh.ServerReady && (c.lost || now.Before(c.doubtUntil)) {
+		suspect := *known
+		suspect.Suspect, suspect.Revision = true, revision
+		c.servers[id] = &suspect
+		c.lapsing[id] = c.doubtUntil
+		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Uint64("revision", revision).
+			Msg("server suspect: its record ended while the store was away")
+		return
+	}
+	delete(c.servers, id)
+	c.logger.Info().Str("part", "catalog").Str("server", string(id)).Uint64("revision", revision).Msg("server gone")
+}
+
+func (c *Catalog) applyEvacuation(dataCentre string, on bool, revision uint64) {
+	if c.evacuated[dataCentre] == on {
+		return
+	}
+	if on {
+		c.evacuated[dataCentre] = true
+	} else {
+		delete(c.evacuated, dataCentre)
+	}
+	c.logger.Info().Str("part", "catalog").Str("data_centre", dataCentre).Bool("evacuated", on).
+		Uint64("revision", revision).Msg("evacuation changed")
+}
+
+// dropMissing deletes the items that a complete list lacks.
+func (c *Catalog) dropMissing(listed map[string]bool, revision uint64, now time.Time) {
+	for key, item := range c.items {
+		if !listed[key] && !item.Deleted && item.Revision <= revision {
+			c.apply(Item{Key: key, Revision: max(item.Revision+1, revision), Deleted: true}, now)
+		}
+	}
+}
+
+// expire removes suspect servers that did not register again.
+func (c *Catalog) expire(now time.Time) bool {
+	if c.lost {
+		return false
+	}
+	removed := false
+	for id, until := range c.lapsing {
+		if now.Before(until) {
+			continue
+		}
+		delete(c.lapsing, id)
+		delete(c.servers, id)
+		removed = true
+		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Msg("suspect server gone")
+	}
+	return removed
+}
+
+func (c *Catalog) publish() {
+	v := &View{
+		Revision:  c.revision,
+		Config:    c.config,
+		Table:     c.table,
+		Servers:   make(map[mesh.ServerID]*Listing, len(c.servers)),
+		Usable:    map[string][]*Listing{},
+		Evacuated: make(map[string]bool, len(c.evacuated)),
+	}
+	for dataCentre := range c.evacuated {
+		v.Evacuated[dataCentre] = true
+	}
+	for id, listing := range c.servers {
+		v.Servers[id] = listing
+		if listing.State == mesh.ServerReady && !c.evacuated[listing.DataCentre] {
+			v.Usable[listing.Service] = append(v.Usable[listing.Service], listing)
+		}
+	}
+	for _, servers := range v.Usable {
+		slices.SortFunc(servers, func(a, b *Listing) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	c.view.Store(v)
+	for _, listener := range c.listeners {
+		listener(v)
+	}
+}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -44,7 +44,13 @@
 func runNode(ctx context.Context, streams Streams, s settings.Settings) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if s.Store != "" {
+		signal.Notify(signals, syscall.SIGHUP)
+	}
 	defer signal.Stop(signals)
+	if s.Store != "" {
+		return runSidecar(ctx, signals, s)
+	}
 	logger := telemetry.NewLogger(s.LogLevel, streams.Err)
 	n, err := node.Start(ctx, s, node.Options{Logger: logger, Stdout: streams.Out})
 	if err != nil {
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"boragefall/internal/host"
 )
@@ -29,4 +30,8 @@
 type Load struct {
 	Running, Queued, Limit int
 	State                  host.State
+	// Service is the mean time that the server takes for a request; 0 is unknown.
+	Service time.Duration
+	// Failing is the share of requests that the server failed lately, 0 to 1.
+	Failing float64
 }
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -59,6 +59,17 @@
 	HostListRevision uint64
 	// Fences names the hosts that will never run this key.
 	Fences []host.ID
+	// Server names the incarnation that the entry chose; empty takes any.
+	Server string
+	// Objective is the time until which an answer is most useful, in this
+	// process's clock; the zero time states none.
+	Objective time.Time
+	// Origin is the service beside which the request began.
+	Origin string
+	// Rank orders requests at a full server; 0 goes first.
+	Rank int
+	// Settle reports that a late answer is preferred to a refusal.
+	Settle bool
 	// Fingerprint identifies the request to the quarantine.
 	Fingerprint uint64
 	// ContentLength is the body's length in bytes, or -1.
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -47,6 +47,25 @@
 	return answer, err
 }
 
+// State asks a peer for its copy of the platform's store.
+func (c *Client) State(ctx context.Context, address string, m *wire.StateQuery) (*wire.StateAnswer, error) {
+	answer := &wire.StateAnswer{}
+	err := c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_StateQuery{StateQuery: m}}, answer)
+	return answer, err
+}
+
+// Bar asks a gate never to hand a request to its server.
+func (c *Client) Bar(ctx context.Context, address string, m *wire.Bar) (*wire.BarAnswer, error) {
+	answer := &wire.BarAnswer{}
+	err := c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_Bar{Bar: m}}, answer)
+	return answer, err
+}
+
+// CrashNotice tells a gate which requests were running while a server crashed.
+func (c *Client) CrashNotice(ctx context.Context, address string, m *wire.CrashNotice) error {
+	return c.ask(ctx, address, &wire.Opening{Kind: &wire.Opening_CrashNotice{CrashNotice: m}}, &wire.CrashNotice{})
+}
+
 func (c *Client) ask(ctx context.Context, address string, opening *wire.Opening, answer proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -158,7 +158,9 @@
 	}
 	d.cfg.Meter.Attempted("answered")
 	d.cfg.Contacts.ObserveContact(server.Host, time.Now())
-	server.Stats.Observe(routing.Load(answer.Load), time.Now())
+	server.Stats.Observe(routing.Load{
+		Running: answer.Load.Running, Queued: answer.Load.Queued, Limit: answer.Load.Limit, State: answer.Load.State,
+	}, time.Now())
 	answer.Body = &countedBody{ReadCloser: answer.Body, stats: server.Stats, started: started}
 	return answer, nil
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -22,6 +23,9 @@
 
 const traceParentHeader = "traceparent"
 
+// permille is the unit of shares in messages.
+const permille = 1000
+
 // ErrCrossed reports an answer to another request.
 var ErrCrossed = eris.New("the answer carries another request's id")
 
@@ -37,6 +41,7 @@
 }
 
 // Do sends a request to the gate at an address. Its errors are *verdict.Error.
+// With a refusal of the gate it returns an answer that holds only the load.
 func (c *Client) Do(ctx context.Context, address string, r *contract.Request) (*contract.Answer, error) {
 	carrier := propagation.MapCarrier{}
 	c.propagator.Inject(ctx, carrier)
@@ -56,9 +61,8 @@
 	answer, err := call.receive(ctx, r.ID)
 	if err != nil {
 		call.close()
-		return nil, err
 	}
-	return answer, nil
+	return answer, err
 }
 
 // clientCall is a request under way.
@@ -86,7 +90,7 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, ErrCrossed)
 	}
 	if refused := head.GetRefused(); refused != nil {
-		return nil, decodeRefusal(refused)
+		return &contract.Answer{Load: decodeLoad(head.GetLoad())}, decodeRefusal(refused)
 	}
 	trailer := http.Header{}
 	reader := &bodyReader{stream: c.stream, trailer: trailer, length: head.GetContentLength()}
@@ -126,15 +130,19 @@
 		Queued:  int(l.GetQueued()),
 		Limit:   int(l.GetLimit()),
 		State:   host.State(l.GetState()),
+		Service: time.Duration(l.GetServiceMicros()) * time.Microsecond,
+		Failing: float64(l.GetFailingPermille()) / permille,
 	}
 }
 
 func encodeLoad(l contract.Load) *wire.Load {
 	return &wire.Load{
-		Running: uint32(max(l.Running, 0)),
-		Queued:  uint32(max(l.Queued, 0)),
-		Limit:   uint32(max(l.Limit, 0)),
-		State:   uint32(l.State),
+		Running:         uint32(max(l.Running, 0)),
+		Queued:          uint32(max(l.Queued, 0)),
+		Limit:           uint32(max(l.Limit, 0)),
+		State:           uint32(l.State),
+		ServiceMicros:   uint32(min(max(l.Service.Microseconds(), 0), math.MaxUint32)),
+		FailingPermille: uint32(l.Failing * permille),
 	}
 }
 
--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -86,6 +86,13 @@
 		ContentLength:    r.ContentLength,
 		Fingerprint:      r.Fingerprint,
 		Crashes:          uint32(r.Crashes),
+		Server:           r.Server,
+		Origin:           r.Origin,
+		Rank:             uint32(max(r.Rank, 0)),
+		Settle:           r.Settle,
+	}
+	if !r.Objective.IsZero() {
+		head.ObjectiveMicros = r.Objective.Sub(now).Microseconds()
 	}
 	if !r.KeyTime.IsZero() {
 		head.KeyMillis = r.KeyTime.UnixMilli()
@@ -110,6 +117,13 @@
 		Fingerprint:      head.GetFingerprint(),
 		ContentLength:    head.GetContentLength(),
 		Crashes:          int(head.GetCrashes()),
+		Server:           head.GetServer(),
+		Origin:           head.GetOrigin(),
+		Rank:             int(head.GetRank()),
+		Settle:           head.GetSettle(),
+	}
+	if micros := head.GetObjectiveMicros(); micros != 0 {
+		r.Objective = now.Add(time.Duration(micros) * time.Microsecond)
 	}
 	r.Trailer = takeTrailerNames(r.Header)
 	if ms := head.GetKeyMillis(); ms != 0 {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -37,6 +37,10 @@
 	return f(ctx, r)
 }
 
+func (runner) Load() contract.Load {
+	return contract.Load{}
+}
+
 // serve hands request streams to an exchange server, or to raw when set.
 type serve struct {
 	server *exchange.Server
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -21,6 +21,8 @@
 // Runner runs requests at the last hop. Its errors are *verdict.Error.
 type Runner interface {
 	Run(ctx context.Context, r *contract.Request) (*contract.Answer, error)
+	// Load returns how busy the server is, for refusals.
+	Load() contract.Load
 }
 
 // Server answers the requests of other nodes.
@@ -57,7 +59,7 @@
 }
 
 func (s *Server) refuse(stream *link.Stream, r *contract.Request, err error) {
-	head := &wire.AnswerHead{Id: r.ID, Refused: encodeRefusal(verdict.Of(err), s.version())}
+	head := &wire.AnswerHead{Id: r.ID, Refused: encodeRefusal(verdict.Of(err), s.version()), Load: encodeLoad(s.runner.Load())}
 	if stream.Send(head) == nil {
 		_ = stream.Flush()
 	}
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -21,6 +21,9 @@
 	AcceptsPerSecond float64
 	// AcceptBurst is the number of incoming links taken at once. Default 50.
 	AcceptBurst int
+	// SilenceLimit ends a connection on which the peer acknowledges nothing for
+	// that long, by the kernel's own probes and time-outs. Default 0: none.
+	SilenceLimit time.Duration
 	// RedialBase is the shortest wait after a failed dial. Default 50 ms.
 	RedialBase time.Duration
 	// RedialMax is the longest wait after failed dials. Default 3 s.
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -125,6 +125,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := limitSilence(conn, d.cfg.SilenceLimit); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	counted := &countedConn{Conn: newCoalescingConn(conn), counter: d.counter, class: d.class}
 	if _, err := counted.Write([]byte{byte(d.class)}); err != nil {
 		_ = counted.Close()
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -100,6 +100,9 @@
 }
 
 func (l *Listener) handshake(conn net.Conn) (*yamux.Session, Class, error) {
+	if err := limitSilence(conn, l.cfg.SilenceLimit); err != nil {
+		return nil, 0, err
+	}
 	_ = conn.SetReadDeadline(time.Now().Add(l.cfg.DialTimeout))
 	var first [1]byte
 	if _, err := conn.Read(first[:]); err != nil {
--- /dev/null
+++ b/internal/serverconn/exchange.go
@@ -0,0 +1,272 @@
+package serverconn
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/protocol"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// maxStrayAnswers bounds the answers to earlier requests that are passed
+	// over while the right one is awaited.
+	maxStrayAnswers = 4
+	// maxBufferedAnswer is the size in bytes up to which an answer is read
+	// whole before it is passed on, so that one that breaks off can be replaced.
+	maxBufferedAnswer = 256 << 10
+	// inlineBody is the size in bytes up to which a request's body is written
+	// before the answer is awaited; it fits a socket's buffers.
+	inlineBody = 8 << 10
+)
+
+var errStray = eris.New("only answers to other requests arrived")
+
+// Answer is a backend server's answer with its meaning.
+type Answer struct {
+	contract.Answer
+	Reply protocol.Reply
+}
+
+// Request is one request to the server.
+type Request struct {
+	*contract.Request
+	// Order is what the request carries for the server.
+	Order protocol.Order
+	// Sent is called once before the first byte is written.
+	Sent func()
+}
+
+// Client sends requests over a pool.
+type Client struct {
+	*Pool
+	headers protocol.Headers
+}
+
+// NewClient returns a client.
+func NewClient(pool *Pool, headers protocol.Headers) *Client {
+	return &Client{Pool: pool, headers: headers}
+}
+
+// Do sends a request and returns the answer. Its errors are *verdict.Error;
+// one that says NotRun holds the proof that no byte was sent.
+func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
+	conn, err := c.get(ctx, !r.Idempotent)
+	if err != nil {
+		// Proof: there was no connection to send on.
+		return nil, verdict.New(verdict.NotRun, dialReason(ctx, err), err)
+	}
+	if r.Sent != nil {
+		r.Sent()
+	}
+	x := &exchange{client: c, conn: conn, request: r}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	answer, err := x.run()
+	if err != nil {
+		x.abandon()
+		return nil, verdict.New(verdict.MayHaveRun, lossReason(ctx), err)
+	}
+	return answer, nil
+}
+
+func dialReason(ctx context.Context, err error) verdict.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.ReasonDeadline
+	case ctx.Err() != nil:
+		return verdict.ReasonCanceled
+	case errors.Is(err, ErrConnectionLimit):
+		return verdict.ReasonOverloaded
+	default:
+		return verdict.ReasonUnreachable
+	}
+}
+
+func lossReason(ctx context.Context) verdict.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.ReasonDeadline
+	case ctx.Err() != nil:
+		return verdict.ReasonCanceled
+	default:
+		return verdict.ReasonConnectionLost
+	}
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	client  *Client
+	conn    *conn
+	request Request
+	stop    func() bool
+	// written receives the result of writing a body that is sent beside the
+	// wait for the answer.
+	written chan error
+}
+
+func (x *exchange) run() (*Answer, error) {
+	out := x.outgoing()
+	if x.request.ContentLength >= 0 && x.request.ContentLength <= inlineBody {
+		if err := x.write(out); err != nil {
+			return nil, err
+		}
+	} else {
+		x.written = make(chan error, 1)
+		go func() { x.written <- x.write(out) }()
+	}
+	response, reply, err := x.receive(out)
+	if err != nil {
+		return nil, err
+	}
+	return x.take(response, reply)
+}
+
+func (x *exchange) outgoing() *http.Request {
+	r := x.request
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	x.client.headers.SetOrder(header, r.Order)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // the caller sent none
+	}
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           opaqueURL(r.URI),
+		Host:          r.Host,
+		Header:        header,
+		ContentLength: r.ContentLength,
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if r.ContentLength != 0 {
+		out.Body = io.NopCloser(r.Body)
+	}
+	return out
+}
+
+func (x *exchange) write(out *http.Request) error {
+	if err := out.Write(x.conn.writer); err != nil {
+		return err
+	}
+	return x.conn.writer.Flush()
+}
+
+// receive reads the answer to this request and passes over answers to others.
+func (x *exchange) receive(out *http.Request) (*http.Response, protocol.Reply, error) {
+	for range maxStrayAnswers {
+		response, err := http.ReadResponse(x.conn.reader, out)
+		if err != nil {
+			return nil, protocol.Reply{}, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue // an interim answer
+		}
+		reply := x.client.headers.Reply(response.StatusCode, response.Header)
+		if reply.ID == "" || reply.ID == x.request.ID {
+			return response, reply, nil
+		}
+		if response.Close {
+			break
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, protocol.Reply{}, err
+		}
+	}
+	return nil, protocol.Reply{}, errStray
+}
+
+// take reads a small answer whole, and streams a large one.
+func (x *exchange) take(response *http.Response, reply protocol.Reply) (*Answer, error) {
+	answer := &Answer{Reply: reply, Answer: contract.Answer{
+		Status:        response.StatusCode,
+		Header:        contract.EndToEnd(response.Header),
+		Trailer:       func() http.Header { return response.Trailer },
+		ContentLength: response.ContentLength,
+	}}
+	buffer := &bytes.Buffer{}
+	_, err := io.CopyN(buffer, response.Body, maxBufferedAnswer)
+	switch {
+	case err == nil:
+		rest := &streamed{exchange: x, response: response, reply: reply}
+		answer.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(buffer, rest), rest}
+	case errors.Is(err, io.EOF):
+		x.finish(response, reply)
+		answer.Body = io.NopCloser(buffer)
+		if response.Request == nil || response.Request.Method != http.MethodHead {
+			answer.ContentLength = int64(buffer.Len())
+		}
+	default:
+		return nil, err
+	}
+	return answer, nil
+}
+
+// finish keeps the connection when both sides are done with the request.
+func (x *exchange) finish(response *http.Response, reply protocol.Reply) {
+	if !x.stop() || !x.sent() || response.Close || x.conn.reader.Buffered() > 0 {
+		x.abandon()
+		return
+	}
+	x.client.put(x.conn, reply.IdleLimit)
+}
+
+// sent reports whether the whole request was written. A server may answer
+// before it has read a long body; such a connection is not used again.
+func (x *exchange) sent() bool {
+	if x.written == nil {
+		return true
+	}
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// abandon closes the connection, which also ends a write under way.
+func (x *exchange) abandon() {
+	x.stop()
+	x.client.discard(x.conn)
+}
+
+// streamed is the rest of a large answer.
+type streamed struct {
+	exchange *exchange
+	response *http.Response
+	reply    protocol.Reply
+	done     bool
+}
+
+// Read returns an error other than io.EOF when the answer breaks off.
+func (s *streamed) Read(p []byte) (int, error) {
+	if s.done {
+		return 0, io.EOF
+	}
+	n, err := s.response.Body.Read(p)
+	if err == io.EOF {
+		s.done = true
+		s.exchange.finish(s.response, s.reply)
+	}
+	return n, err
+}
+
+// Close ends the answer; before its end the connection is closed.
+func (s *streamed) Close() error {
+	if !s.done {
+		s.done = true
+		s.exchange.abandon()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serverconn/url.go
@@ -0,0 +1,14 @@
+package serverconn
+
+import (
+	"net/url"
+	"strings"
+)
+
+// opaqueURL returns a URL that is written as it stands: path and query go to
+// the server byte for byte as the caller sent them.
+func opaqueURL(uri string) *url.URL {
+	path, query, hasQuery := strings.Cut(uri, "?")
+	u := &url.URL{Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	return u
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,8 +43,15 @@
 	CallersListen string
 	// AdminListen is where operators connect, IP:port. Required.
 	AdminListen string
-	// Platform is the base URL of the configuration service. Required.
+	// ReadyListen is where the platform asks whether the node is ready, IP:port.
+	// Required with Store.
+	ReadyListen string
+	// Platform is the base URL of the configuration service. Required unless
+	// Store is set.
 	Platform string
+	// Store is the address of the platform's metadata store, IP:port. When it is
+	// set the node follows the store and needs no configuration service.
+	Store string
 	// Peers are link addresses of other nodes, asked first at the start.
 	Peers []string
 	// LogLevel is debug, info, warn or error. Default info.
@@ -57,6 +64,14 @@
 	TraceRatio float64
 	// DrainLimit bounds a planned stop. Default 30 s.
 	DrainLimit time.Duration
+	// RetryRatio is the number of repeated sends that the platform permits for
+	// each request, 0 to 1. Default 0.2.
+	RetryRatio float64
+	// RetrySlack is the number of repeated sends that all nodes together may make
+	// beside that in ten seconds. Default 50.
+	RetrySlack int
+	// MemoryMB is the memory that the process may use, in MiB. Default 128.
+	MemoryMB int
 	// ControlBytesPerSecond bounds control traffic sent. Default 7,000.
 	ControlBytesPerSecond int
 }
@@ -65,6 +80,9 @@
 	defaultTraceRatio   = 0.01
 	defaultDrainLimit   = 30 * time.Second
 	defaultControlBytes = 7000
+	defaultRetryRatio   = 0.2
+	defaultRetrySlack   = 50
+	defaultMemoryMB     = 128
 )
 
 // Read parses args, the environment and the settings file that args name.
@@ -100,7 +118,9 @@
 	flags.StringVar(&s.LinkListen, "link-listen", "", "`IP:port` where other nodes connect")
 	flags.StringVar(&s.CallersListen, "callers-listen", "", "`IP:port` where callers connect")
 	flags.StringVar(&s.AdminListen, "admin-listen", "", "`IP:port` where operators connect")
+	flags.StringVar(&s.ReadyListen, "ready-listen", "", "`IP:port` where the platform asks whether the node is ready")
 	flags.StringVar(&s.Platform, "platform", "", "base `URL` of the configuration service")
+	flags.StringVar(&s.Store, "store", "", "`IP:port` of the platform's metadata store, instead of a configuration service")
 	flags.Func("peer", "`IP:port` of another node's link, may be given more than once", func(text string) error {
 		s.Peers = append(s.Peers, text)
 		return nil
@@ -110,6 +130,9 @@
 	flags.StringVar(&s.TraceEndpoint, "trace-endpoint", "", "`URL` of the OTLP collector")
 	flags.Float64Var(&s.TraceRatio, "trace-ratio", defaultTraceRatio, "sampled `share` of traces, 0 to 1")
 	flags.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "longest `time` of a planned stop")
+	flags.Float64Var(&s.RetryRatio, "retry-ratio", defaultRetryRatio, "repeated sends permitted for each request, 0 to 1")
+	flags.IntVar(&s.RetrySlack, "retry-slack", defaultRetrySlack, "repeated `sends` permitted to all nodes beside that in ten seconds")
+	flags.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory in `MiB` that the process may use")
 	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
 	return flags
 }
@@ -128,7 +151,10 @@
 		checkAddress("link-listen", s.LinkListen),
 		checkAddress("callers-listen", s.CallersListen),
 		checkAddress("admin-listen", s.AdminListen),
-		checkURL("platform", s.Platform),
+		s.checkSource(),
+		checkRange("retry-ratio", s.RetryRatio, 0, 1),
+		checkRange("retry-slack", float64(s.RetrySlack), 0, 1e6),
+		checkRange("memory-mb", float64(s.MemoryMB), 16, 1e6),
 		checkOneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
 		checkOneOf("trace-exporter", s.TraceExporter, "off", "stdout", "otlp"),
 		checkRange("trace-ratio", s.TraceRatio, 0, 1),
@@ -146,6 +172,18 @@
 	return nil
 }
 
+// checkSource checks where the configuration comes from: a metadata store with
+// its readiness check, or a configuration service.
+func (s *Settings) checkSource() error {
+	if s.Store == "" {
+		return checkURL("platform", s.Platform)
+	}
+	if err := checkAddress("store", s.Store); err != nil {
+		return err
+	}
+	return checkAddress("ready-listen", s.ReadyListen)
+}
+
 func bad(field, holds, takes string) error {
 	return eris.Wrapf(ErrBadSetting, "%s holds %s; it takes %s", field, holds, takes)
 }
--- /dev/null
+++ b/internal/sidecar/lasthop.go
@@ -0,0 +1,277 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/phuslu/log"
+
+	"boragefall/internal/admission"
+	"boragefall/internal/catalog"
+	"boragefall/internal/contract"
+	"boragefall/internal/mesh"
+	"boragefall/internal/protocol"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// answerReserve is taken off the time that a server gets, for the way of its
+	// answer back to the caller.
+	answerReserve = 5 * time.Millisecond
+	// rememberedIDs bounds the ids that were handed over or barred; it covers
+	// several seconds at a full server.
+	rememberedIDs = 4096
+	// shortWait goes on refusals that another server may not give.
+	shortWait = 50 * time.Millisecond
+)
+
+// LastHop runs requests on the backend server beside this node, or refuses
+// them. It alone decides; what an entry knows of the server is a hint.
+type LastHop struct {
+	address string
+	service string
+	view    func() *catalog.View
+	gate    *admission.Gate
+	client  *serverconn.Client
+	prober  *prober
+	poison  *poison
+	logger  *log.Logger
+
+	mu sync.Mutex
+	// seen holds the ids that were handed over (true) or barred (false).
+	seen *lru.Cache[string, bool]
+	// current is the server's last listing; nil before the first.
+	current *catalog.Listing
+	// evacuated is whether the server's data centre was taken out at the last view.
+	evacuated bool
+	stopping  bool
+}
+
+// LastHopConfig names the parts of a LastHop. All fields are required.
+type LastHopConfig struct {
+	// Address is the backend server's, IP:port.
+	Address string
+	// Service is the service of the backend server.
+	Service string
+	View    func() *catalog.View
+	Client  *serverconn.Client
+	Poison  *poison
+	Logger  *log.Logger
+}
+
+// NewLastHop returns a last hop that holds all work until the server was
+// heard of.
+func NewLastHop(cfg LastHopConfig) (*LastHop, error) {
+	seen, err := lru.New[string, bool](rememberedIDs)
+	if err != nil {
+		return nil, err
+	}
+	h := &LastHop{
+		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
+		poison: cfg.Poison, logger: cfg.Logger, seen: seen,
+		gate: admission.NewGate(1, 0),
+	}
+	h.prober = &prober{hop: h}
+	return h, nil
+}
+
+// Load returns how busy the server is.
+func (h *LastHop) Load() contract.Load {
+	return h.gate.Load()
+}
+
+// Run runs a request or refuses it. Its errors are *verdict.Error.
+func (h *LastHop) Run(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
+	if refusal := h.check(r); refusal != nil {
+		h.logRefusal(r, refusal)
+		return nil, refusal
+	}
+	permit, err := h.gate.Admit(ctx, admission.Request{
+		Class: r.Route, Priority: r.Rank, Deadline: r.Deadline, Objective: r.Objective, Settle: r.Settle,
+	})
+	if err != nil {
+		h.logRefusal(r, verdict.Of(err))
+		return nil, err
+	}
+	// The wait may have outlasted what the first check saw.
+	if refusal := h.check(r); refusal != nil {
+		permit.Release()
+		h.logRefusal(r, refusal)
+		return nil, refusal
+	}
+	return h.send(ctx, r, permit)
+}
+
+func (h *LastHop) logRefusal(r *contract.Request, e *verdict.Error) {
+	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).
+		Str("reason", e.Reason.String()).Dur("retry_after", e.RetryAfter).Msg("refused")
+}
+
+// check returns why the server must not get a request, whatever its load.
+func (h *LastHop) check(r *contract.Request) *verdict.Error {
+	// Proof for each refusal: nothing was handed to the server yet.
+	if r.Service != h.service {
+		return verdict.Refuse(verdict.ReasonLacksResource, shortWait)
+	}
+	if h.poison.convicted(r.Fingerprint, time.Now()) {
+		return verdict.Refuse(verdict.ReasonQuarantined, 0)
+	}
+	view := h.view()
+	id := mesh.ServerID(r.Server)
+	if _, listed := view.Servers[id]; !listed && view.Revision < r.HostListRevision {
+		return nil // the entry has heard of a newer server
+	}
+	if !view.MayServe(id) {
+		return verdict.Refuse(verdict.ReasonLeaving, shortWait)
+	}
+	return nil
+}
+
+// handOver notes that a request goes to the server, unless it was barred.
+func (h *LastHop) handOver(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if handed, known := h.seen.Get(id); known && !handed {
+		return false
+	}
+	h.seen.Add(id, true)
+	return true
+}
+
+// Bar keeps a request from ever being handed to the server. It reports whether
+// it had been before.
+func (h *LastHop) Bar(id string) (handedOver bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if handed, known := h.seen.Get(id); known {
+		return handed
+	}
+	h.seen.Add(id, false)
+	return false
+}
+
+func (h *LastHop) send(ctx context.Context, r *contract.Request, permit *admission.Permit) (*contract.Answer, error) {
+	if !h.handOver(r.ID) {
+		permit.Release()
+		return nil, verdict.Refuse(verdict.ReasonFenced, shortWait)
+	}
+	answer, err := h.client.Do(ctx, serverconn.Request{Request: r, Order: protocol.Order{
+		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), Left: r.Remaining(time.Now()) - answerReserve,
+	}})
+	if err != nil {
+		return nil, h.failed(r, permit, verdict.Of(err))
+	}
+	h.poison.ranWell(r.Fingerprint)
+	return h.answered(r, permit, answer)
+}
+
+// failed ends a request without an answer.
+func (h *LastHop) failed(r *contract.Request, permit *admission.Permit, e *verdict.Error) error {
+	switch {
+	case e.Reason == verdict.ReasonCanceled || e.Reason == verdict.ReasonDeadline:
+		permit.Outlasted()
+	case e.Verdict == verdict.NotRun:
+		permit.Release()
+		if e.Reason == verdict.ReasonUnreachable {
+			h.prober.doubt(true)
+		}
+	default:
+		permit.Served(true)
+		h.poison.brokeOff(r.Fingerprint, time.Now())
+		h.prober.doubt(false)
+	}
+	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("server", r.Server).Str("route", r.Route).
+		Str("verdict", e.Verdict.String()).Str("reason", e.Reason.String()).AnErr("cause", e.Cause).Msg("no answer from the server")
+	return e
+}
+
+// answered passes an answer on, or turns the server's own refusal into a
+// verdict so that another server may be tried.
+func (h *LastHop) answered(r *contract.Request, permit *admission.Permit, a *serverconn.Answer) (*contract.Answer, error) {
+	if a.Reply.NotRun {
+		// Proof: the server itself says that it did not run the request.
+		_ = a.Body.Close() // nothing of it is passed on
+		permit.Served(!a.Reply.OtherServer)
+		if a.Reply.OtherServer {
+			h.prober.doubt(false)
+		}
+		h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("server", r.Server).Int("status", a.Status).
+			Str("answered_by", string(a.Reply.Server)).Msg("the server did not run it")
+		reason := verdict.ReasonOverloaded
+		if a.Reply.OtherServer {
+			reason = verdict.ReasonLacksResource
+		}
+		return nil, verdict.Refuse(reason, shortWait)
+	}
+	failed := a.Status >= http.StatusInternalServerError
+	a.Body = &permitBody{ReadCloser: a.Body, permit: permit, failed: failed}
+	a.Load = h.Load()
+	return &a.Answer, nil
+}
+
+// permitBody gives the permit back once the answer was read or closed.
+type permitBody struct {
+	io.ReadCloser
+	permit *admission.Permit
+	failed bool
+}
+
+// Read ends the permit with the answer.
+func (b *permitBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.permit.Served(b.failed || !errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close ends the permit of an answer that is not read to its end.
+func (b *permitBody) Close() error {
+	b.permit.Outlasted()
+	return b.ReadCloser.Close()
+}
+
+// SetStopping refuses all new work from now on: this process is about to end.
+func (h *LastHop) SetStopping() {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	h.gate.SetClosed(true)
+}
+
+// Update follows a new view of the mesh.
+func (h *LastHop) Update(v *catalog.View) {
+	if v.Config == nil {
+		return
+	}
+	service := v.Config.Services[h.service]
+	listing := v.At(h.address)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if service.MaxConnections > 0 {
+		h.client.SetMaxConnections(service.MaxConnections)
+	}
+	if listing == nil {
+		h.gate.SetLimits(0, service.ColdRate)
+		h.gate.SetClosed(h.stopping || h.current != nil)
+		h.prober.start()
+		return
+	}
+	h.gate.SetLimits(listing.Slots, service.ColdRate)
+	h.gate.ColdUntil(listing.ColdUntil)
+	evacuated := v.Evacuated[listing.DataCentre]
+	h.gate.SetClosed(h.stopping || evacuated || listing.State != mesh.ServerReady)
+	restarted := h.current != nil && !h.current.SameIncarnation(listing.Server)
+	if restarted || h.evacuated && !evacuated {
+		// A new process is cold, and so may be one that was taken out.
+		h.prober.doubt(false)
+	}
+	h.current, h.evacuated = listing, evacuated
+	h.prober.start()
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,302 @@
+// Package sidecar is a node on the platform: it serves the callers of its host,
+// runs requests on the backend server beside it, and follows the platform's
+// store.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"google.golang.org/protobuf/proto"
+
+	"boragefall/internal/balance"
+	"boragefall/internal/catalog"
+	"boragefall/internal/config"
+	"boragefall/internal/control"
+	"boragefall/internal/exchange"
+	"boragefall/internal/feed"
+	"boragefall/internal/host"
+	"boragefall/internal/intake"
+	"boragefall/internal/link"
+	"boragefall/internal/protocol"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/settings"
+	"boragefall/internal/telemetry"
+)
+
+const (
+	// linkDialTimeout bounds the making of a link; hosts of a region are a few
+	// milliseconds apart.
+	linkDialTimeout = 400 * time.Millisecond
+	// linkSilence is how long unacknowledged bytes or keep-alive probes may stay
+	// unanswered on a link. It is about a request's objective.
+	linkSilence = time.Second
+	// linkAcceptBurst is the number of links taken at once: all nodes connect
+	// when a node returns.
+	linkAcceptBurst = 200
+	// linkRedialMax bounds the pause after failed dials, so that a host that is
+	// back gets work within about a second.
+	linkRedialMax = 800 * time.Millisecond
+	// bodyBudgetShare is the part of the memory limit for buffered bodies.
+	bodyBudgetShare = 8
+	// idleConnection is how long a caller's unused connection is kept. It is
+	// beyond any idle timeout that operators set for callers.
+	idleConnection = 2 * time.Minute
+	// headerTimeout bounds the time in which a request's head arrives.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head; net/http answers 431 beyond it.
+	maxHeaderBytes = 64 << 10
+	// outOfTraffic is how long callers go on sending new work to a node that says
+	// it is not ready: the platform asks once a second and needs two answers.
+	outOfTraffic = 2500 * time.Millisecond
+	// stopPoll is how often a stopping node looks whether it is idle.
+	stopPoll = 50 * time.Millisecond
+	// graceShare is the part of the permitted time after which a planned stop
+	// ends what still runs, leaving the rest for closing.
+	graceShare = 0.85
+)
+
+// Platform is what an adapter provides.
+type Platform struct {
+	Store   feed.Store
+	Decoder catalog.Decoder
+	Headers protocol.Headers
+}
+
+// Options are what a node gets beside its settings. All fields are required.
+type Options struct {
+	Platform Platform
+	Logger   *log.Logger
+}
+
+// Node is one running node.
+type Node struct {
+	app     *fx.App
+	stopper *stopper
+}
+
+// Start starts a node.
+func Start(ctx context.Context, s settings.Settings, o Options) (*Node, error) {
+	n := &Node{}
+	n.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(s, o.Platform, o.Logger),
+		fx.Provide(
+			newCatalog, newMetrics, newDialers, newNeighbours, newPoisonOf, newServerClient, newLastHop,
+			newDispatcher, newEntry, newFeed, newStreams, newStopper, newFlags,
+		),
+		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
+		fx.Populate(&n.stopper),
+		fx.StopTimeout(time.Minute),
+	)
+	if err := n.app.Start(ctx); err != nil {
+		return nil, eris.Wrap(err, "start the node")
+	}
+	return n, nil
+}
+
+// Stop carries out a planned stop.
+func (n *Node) Stop(ctx context.Context) error {
+	n.stopper.drain(ctx)
+	return n.app.Stop(ctx)
+}
+
+// flags are the states that several parts share.
+type flags struct {
+	stopping atomic.Bool
+	busy     atomic.Int64
+}
+
+func newFlags() *flags { return &flags{} }
+
+func newCatalog(p Platform, logger *log.Logger) *catalog.Catalog {
+	return catalog.New(p.Decoder, logger)
+}
+
+func newMetrics(s settings.Settings, c *catalog.Catalog) *telemetry.Metrics {
+	m := telemetry.NewMetrics(s.Host)
+	m.Gauge("config_version", "Version of the configuration in force.", func() float64 {
+		if view := c.View(); view.Config != nil {
+			return float64(view.Config.Version)
+		}
+		return 0
+	})
+	m.Gauge("store_revision", "Newest revision of the store that was applied.", func() float64 {
+		return float64(c.View().Revision)
+	})
+	return m
+}
+
+// dialers make the links to other nodes.
+type dialers struct {
+	requests, control *link.Dialer
+}
+
+func linkConfig() link.Config {
+	return link.Config{
+		DialTimeout: linkDialTimeout, KeepAlive: -1, SilenceLimit: linkSilence,
+		AcceptBurst: linkAcceptBurst, RedialMax: linkRedialMax,
+	}
+}
+
+func identity(s settings.Settings) link.Identity {
+	return link.Identity{Host: host.ID(s.Host), BootMillis: time.Now().UnixMilli()}
+}
+
+func newDialers(s settings.Settings, lc fx.Lifecycle) dialers {
+	counter := &link.Counter{}
+	d := dialers{
+		requests: link.NewDialer(linkConfig(), link.ClassRequest, identity(s), counter),
+		control:  link.NewDialer(linkConfig(), link.ClassControl, identity(s), counter),
+	}
+	lc.Append(fx.StopHook(func() {
+		d.requests.Close()
+		d.control.Close()
+	}))
+	return d
+}
+
+func newNeighbours(s settings.Settings, c *catalog.Catalog, d dialers, logger *log.Logger) (*neighbours, error) {
+	_, port, err := net.SplitHostPort(s.LinkListen)
+	if err != nil {
+		return nil, eris.Wrap(err, "link address")
+	}
+	return &neighbours{
+		view: c.View, seeds: s.Peers, self: s.LinkListen, linkPort: port, service: s.Service,
+		control: control.NewClient(d.control), logger: logger,
+	}, nil
+}
+
+func newPoisonOf(n *neighbours) (*poison, error) {
+	return newPoison(n.tellOfBrokenRun)
+}
+
+func newServerClient(s settings.Settings, p Platform) *serverconn.Client {
+	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
+}
+
+func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *poison, logger *log.Logger) (*LastHop, error) {
+	return NewLastHop(LastHopConfig{
+		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Poison: p, Logger: logger,
+	})
+}
+
+func newDispatcher(s settings.Settings, c *catalog.Catalog, hop *LastHop, d dialers, n *neighbours, m *telemetry.Metrics, logger *log.Logger) *Dispatcher {
+	return &Dispatcher{
+		hop: hop, view: c.View, balancer: balance.New(s.DataCentre), linkPort: n.linkPort, logger: logger, meter: m,
+		peers:  linkPeers{Client: exchange.NewClient(d.requests), dialer: d.requests, control: n.control},
+		budget: Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
+	}
+}
+
+func newEntry(s settings.Settings, p Platform, c *catalog.Catalog, d *Dispatcher, m *telemetry.Metrics, f *flags, logger *log.Logger) *Entry {
+	return &Entry{
+		Origin: s.Service, View: c.View, Headers: p.Headers, Dispatcher: d, Shares: newShares(), Meter: m,
+		Bodies: intake.NewBodies(intake.BodyConfig{Budget: int64(s.MemoryMB) << 20 / bodyBudgetShare}),
+		Logger: logger, Stopping: &f.stopping, Busy: &f.busy,
+	}
+}
+
+func newFeed(p Platform, n *neighbours, c *catalog.Catalog, m *telemetry.Metrics, logger *log.Logger) *feed.Feed {
+	return feed.New(feed.Config{}, p.Store, n, c, m, logger)
+}
+
+func newStreams(hop *LastHop, p *poison, c *catalog.Catalog, logger *log.Logger) *streams {
+	version := func() config.Version {
+		if view := c.View(); view.Config != nil {
+			return config.Version{Revision: view.Config.Version}
+		}
+		return config.Version{}
+	}
+	return &streams{requests: exchange.NewServer(hop, version, logger), hop: hop, poison: p, catalog: c, logger: logger}
+}
+
+func followCatalog(c *catalog.Catalog, hop *LastHop) {
+	c.OnChange(hop.Update)
+}
+
+func startLinks(lc fx.Lifecycle, s settings.Settings, h *streams, logger *log.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var listener *link.Listener
+	lc.Append(fx.StartStopHook(func() error {
+		l, err := net.Listen("tcp", s.LinkListen)
+		if err != nil {
+			return eris.Wrap(err, "listen for links")
+		}
+		listener = link.NewListener(linkConfig(), identity(s), &link.Counter{}, l, h, logger)
+		go listener.Serve(ctx)
+		return nil
+	}, func() {
+		cancel()
+		listener.Close()
+	}))
+}
+
+func startCallers(lc fx.Lifecycle, s settings.Settings, e *Entry, logger *log.Logger) {
+	serve(lc, logger, "callers", s.CallersListen, &http.Server{
+		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection, MaxHeaderBytes: maxHeaderBytes,
+	})
+}
+
+func startReady(lc fx.Lifecycle, s settings.Settings, c *catalog.Catalog, f *flags, logger *log.Logger) {
+	serve(lc, logger, "ready", s.ReadyListen, &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if f.stopping.Load() || c.View().Config == nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			w.WriteHeader(http.StatusOK)
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection,
+	})
+}
+
+func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, logger *log.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	serve(lc, logger, "admin", s.AdminListen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+}
+
+func serve(lc fx.Lifecycle, logger *log.Logger, name, address string, server *http.Server) {
+	lc.Append(fx.StartStopHook(func() error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listen for %s", name)
+		}
+		go func() {
+			if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+				logger.Error().Str("part", "node").Str("listener", name).Err(err).Msg("listener ended")
+			}
+		}()
+		return nil
+	}, func(ctx context.Context) error {
+		return server.Shutdown(ctx)
+	}))
+}
+
+func startFeed(lc fx.Lifecycle, f *feed.Feed) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() {
+		go f.Run(ctx)
+		go f.Tick(ctx)
+	}, cancel))
+}
+
+// reply sends the answer to a control exchange.
+func (s *streams) reply(stream *link.Stream, answer proto.Message) {
+	err := stream.Send(answer)
+	if err == nil {
+		err = stream.Flush()
+	}
+	if err != nil {
+		s.logger.Debug().Str("part", "link").Err(err).Msg("control answer not sent")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/prober.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/protocol"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// probeTimeout bounds one health check. A server that is full lets it wait
+	// for a slot, or never answers.
+	probeTimeout = 300 * time.Millisecond
+	// probePauseMin and probePauseMax bound the pause before the next check of a
+	// server that takes no connections.
+	probePauseMin = 50 * time.Millisecond
+	probePauseMax = 400 * time.Millisecond
+	// unansweredCold is how long a server that does not answer its health check
+	// is treated as cold.
+	unansweredCold = time.Second
+)
+
+// prober asks the server's health endpoint after whatever may have restarted
+// it. Until the answer the gate holds new work, since a server that has just
+// started bears little.
+type prober struct {
+	hop *LastHop
+
+	mu      sync.Mutex
+	started bool
+	running bool
+}
+
+// start makes the first check of a process.
+func (p *prober) start() {
+	p.mu.Lock()
+	first := !p.started
+	p.started = true
+	p.mu.Unlock()
+	if first {
+		p.doubt(false)
+	}
+}
+
+// doubt holds the gate and checks the server. down reports that the server
+// refused a connection.
+func (p *prober) doubt(down bool) {
+	if down {
+		p.hop.gate.Down()
+	} else {
+		p.hop.gate.Hold()
+	}
+	p.hop.client.CloseIdle()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running {
+		return
+	}
+	p.running = true
+	go p.run()
+}
+
+func (p *prober) run() {
+	pause := probePauseMin
+	for !p.check() {
+		time.Sleep(pause)
+		pause = min(2*pause, probePauseMax)
+	}
+}
+
+// check makes one health check. It reports whether the gate was told to go on.
+func (p *prober) check() bool {
+	view := p.hop.view()
+	if view.Config == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	request := &contract.Request{
+		Method: http.MethodGet, URI: view.Config.Services[p.hop.service].HealthPath, Host: p.hop.address,
+		Deadline: time.Now().Add(probeTimeout), Idempotent: true, Header: http.Header{},
+	}
+	answer, err := p.hop.client.Do(ctx, serverconn.Request{Request: request, Order: protocol.Order{Probe: true}})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		e := verdict.Of(err)
+		if e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonUnreachable {
+			p.hop.gate.Down()
+			p.log("server takes no connections", 0, err)
+			return false
+		}
+		p.running = false
+		p.log("server did not answer its health check", unansweredCold, err)
+		p.hop.gate.Proved(unansweredCold)
+		return true
+	}
+	_ = answer.Body.Close() // the headers say all
+	p.running = false
+	p.log("server heard of", answer.Reply.ColdFor, nil)
+	p.hop.gate.Proved(answer.Reply.ColdFor)
+	return true
+}
+
+func (p *prober) log(message string, coldFor time.Duration, err error) {
+	p.hop.logger.Info().Str("part", "gate").Dur("cold_for", coldFor).AnErr("cause", err).Msg(message)
+}
--- /dev/null
+++ b/internal/sidecar/shares.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"boragefall/internal/mesh"
+)
+
+// shares distributes the requests of split routes. Each node does so on its
+// own, by smooth weighted round robin from a random start, so that every
+// stretch of requests has the weights' proportions.
+type shares struct {
+	mu     sync.Mutex
+	routes map[string]*turns
+}
+
+// turns is the state of one split route.
+type turns struct {
+	// credits holds what each share is owed; they sum up to 0.
+	credits []float64
+	split   []mesh.Share
+}
+
+func newShares() *shares {
+	return &shares{routes: map[string]*turns{}}
+}
+
+// pick returns the service that the next request of a route goes to.
+func (s *shares) pick(route *mesh.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.routes[route.Name]
+	if t == nil || !sameSplit(t.split, route.Shares) {
+		t = newTurns(route.Shares)
+		s.routes[route.Name] = t
+	}
+	return t.next()
+}
+
+func newTurns(split []mesh.Share) *turns {
+	t := &turns{split: split, credits: make([]float64, len(split))}
+	total := totalWeight(split)
+	for range rand.IntN(max(int(total), 1)) {
+		t.next()
+	}
+	return t
+}
+
+func (t *turns) next() string {
+	best := 0
+	for i, share := range t.split {
+		t.credits[i] += share.Weight
+		if t.credits[i] > t.credits[best] {
+			best = i
+		}
+	}
+	t.credits[best] -= totalWeight(t.split)
+	return t.split[best].Service
+}
+
+func totalWeight(split []mesh.Share) float64 {
+	total := 0.0
+	for _, share := range split {
+		total += share.Weight
+	}
+	return total
+}
+
+func sameSplit(a, b []mesh.Share) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -14,6 +14,7 @@
 	refusals *prometheus.CounterVec
 	added    prometheus.Histogram
 	attempts *prometheus.CounterVec
+	store    *prometheus.CounterVec
 }
 
 const namespace = "boragefall"
@@ -41,8 +42,12 @@
 			Namespace: namespace, Name: "attempts_total",
 			Help: "Attempts made for callers' requests, by result.",
 		}, []string{"result"}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_calls_total",
+			Help: "Calls of the platform's store, by call and result.",
+		}, []string{"call", "result"}),
 	}
-	labelled.MustRegister(m.answers, m.refusals, m.added, m.attempts,
+	labelled.MustRegister(m.answers, m.refusals, m.added, m.attempts, m.store,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -69,6 +74,11 @@
 	m.attempts.WithLabelValues(result).Inc()
 }
 
+// StoreCalled counts a call of the platform's store.
+func (m *Metrics) StoreCalled(call, result string) {
+	m.store.WithLabelValues(call, result).Inc()
+}
+
 // Gauge registers a gauge that is read when it is scraped.
 func (m *Metrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
