Hold the retry budget, follow replaced servers, keep on-time requests first

Now 3 s. - After all machines lost power, entries went on to the ids of dead servers, and each 421 held the gate for a health check. Only the newest server at an address is used, and the gate refuses others itself. - Cold servers filled up with requests that were already late. Those that can meet their objective now go first, and few late ones are taken in. - Uploads crossed data centres before the gate refused them: a body over 16 KiB is sent once the gate wants it.

--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -16,9 +16,15 @@
 	// window is the span in which the starts at a cold server are counted; the
 	// platform states the cold rate for each second.
 	window = time.Second
+	// coldShare is the part of the cold rate that is used. A server crashes only
+	// well above its rate, and the platform's own bound is half as high again.
+	coldShare = 1.2
 	// queuePerSlot bounds the waiting requests: work for four turns of all slots
 	// is late whatever the objective is.
 	queuePerSlot = 4
+	// latePerSlots is the number of slots for which one request may wait that
+	// misses its objective.
+	latePerSlots = 3
 	// learnRate is the weight of a new sample in the moving means.
 	learnRate = 0.1
 	// minRetryAfter is the least time to come back after a refusal; it is the
@@ -75,7 +81,7 @@
 
 // NewMachine returns a machine whose server was not heard of yet.
 func NewMachine(slots int, coldRate float64) *Machine {
-	return &Machine{slots: max(slots, 1), coldRate: coldRate, held: true, classes: map[string]*mean{}}
+	return &Machine{slots: max(slots, 1), coldRate: coldShare * coldRate, held: true, classes: map[string]*mean{}}
 }
 
 // Offer takes a request in or refuses it.
@@ -88,19 +94,36 @@
 	if m.down {
 		return nil, verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
 	}
-	wait := m.expectedWait(r.Priority, now)
-	finish := now.Add(wait + m.typical(r.Class))
+	t := &Ticket{request: r, since: now, decided: make(chan *verdict.Error, 1)}
+	wait := m.expectedWait(t, now)
 	full := len(m.waiting) >= queuePerSlot*m.slots
-	late := wait > 0 && finish.After(r.Objective) && !r.Settle
-	hopeless := wait > 0 && finish.After(r.Deadline)
-	if full || late || hopeless {
+	if full || wait > 0 && !m.acceptable(r, now.Add(wait+m.typical(r.Class)), now) {
 		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(wait))
 	}
-	t := &Ticket{request: r, since: now, decided: make(chan *verdict.Error, 1)}
 	m.waiting = append(m.waiting, t)
 	return t, nil
 }
 
+// acceptable reports whether a request that has to wait is worth taking in when
+// it is expected to finish at a time. One that misses its objective goes behind
+// all others, so few of them are taken in, and only with time to spare.
+func (m *Machine) acceptable(r Request, finish, now time.Time) bool {
+	if !finish.After(r.Objective) {
+		return true
+	}
+	spare := r.Objective.Add(r.Deadline.Sub(r.Objective) / 2)
+	if !r.Settle || finish.After(spare) {
+		return false
+	}
+	late := 0
+	for _, t := range m.waiting {
+		if m.late(t, now) {
+			late++
+		}
+	}
+	return late < max(m.slots/latePerSlots, 1)
+}
+
 // Next starts what may start and refuses what can't finish any more. It
 // returns when to call it again, or the zero time when only an event changes
 // anything.
@@ -186,7 +209,7 @@
 		m.slots = slots
 	}
 	if coldRate > 0 {
-		m.coldRate = coldRate
+		m.coldRate = coldShare * coldRate
 	}
 }
 
@@ -248,11 +271,12 @@
 	return now.Add(m.typical(t.request.Class)).After(t.request.Objective)
 }
 
-// expectedWait estimates how long a new request of a priority waits.
-func (m *Machine) expectedWait(priority int, now time.Time) time.Duration {
+// expectedWait estimates how long a new request waits, behind those that go
+// before it.
+func (m *Machine) expectedWait(t *Ticket, now time.Time) time.Duration {
 	ahead := 0
-	for _, t := range m.waiting {
-		if t.request.Priority <= priority {
+	for _, w := range m.waiting {
+		if !m.before(t, w, now) {
 			ahead++
 		}
 	}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -51,6 +51,8 @@
 type Request struct {
 	// BodyBytes is the size of the request's body.
 	BodyBytes int64
+	// Rank orders requests at a full server; 0 goes first.
+	Rank int
 	// Tried holds the servers that are not to be chosen again.
 	Tried []mesh.ServerID
 	// ColdRate is the rate in requests a second that a cold server bears.
@@ -76,6 +78,10 @@
 	loadAt      time.Time
 	sentSince   int
 	avoidUntil  time.Time
+	// fullUntil is the time until which the gate refuses requests of fullRank
+	// and of those that go later.
+	fullUntil time.Time
+	fullRank  int
 	// tokens are the requests that may go to the server while it is cold.
 	tokens  float64
 	fillAt  time.Time
@@ -89,31 +95,48 @@
 }
 
 // Choose returns the best of the listed servers and counts the request as
-// outstanding there until Finish. It returns nil when every server was tried.
-func (b *Balancer) Choose(listed []*catalog.Listing, r Request, now time.Time) *catalog.Listing {
+// outstanding there until Finish. It returns nil when there is none, and after
+// what time there may be one when that is only because gates said that they
+// are full.
+func (b *Balancer) Choose(listed []*catalog.Listing, r Request, now time.Time) (*catalog.Listing, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
 	usual := b.usualService(listed)
 	var best *catalog.Listing
+	var full time.Duration
 	bestWeight := math.Inf(1)
 	for _, l := range listed {
 		if slices.Contains(r.Tried, l.ID) {
 			continue
 		}
+		if s := b.of(l.ID, now); r.Rank >= s.fullRank && now.Before(s.fullUntil) {
+			if wait := s.fullUntil.Sub(now); full == 0 || wait < full {
+				full = wait
+			}
+			continue
+		}
 		weight := b.weigh(l, r, usual, now)
 		if best == nil || weight < bestWeight {
 			best, bestWeight = l, weight
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, full
 	}
 	s := b.of(best.ID, now)
 	s.outstanding++
 	s.sentSince++
 	s.tokens = max(s.tokens-1, 0)
-	return best
+	return best, 0
+}
+
+// Full notes that a gate refuses requests of a rank for a time.
+func (b *Balancer) Full(id mesh.ServerID, rank int, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(id, now)
+	s.fullUntil, s.fullRank = until, rank
 }
 
 // Finish ends an outstanding request. load is nil when the gate told none.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -300,13 +300,19 @@
 		Servers:   make(map[mesh.ServerID]*Listing, len(c.servers)),
 		Usable:    map[string][]*Listing{},
 		Evacuated: make(map[string]bool, len(c.evacuated)),
+		byAddress: make(map[string]*Listing, len(c.servers)),
 	}
 	for dataCentre := range c.evacuated {
 		v.Evacuated[dataCentre] = true
 	}
 	for id, listing := range c.servers {
 		v.Servers[id] = listing
-		if listing.State == mesh.ServerReady && !c.evacuated[listing.DataCentre] {
+		if at := v.byAddress[listing.Address]; at == nil || newer(listing, at) {
+			v.byAddress[listing.Address] = listing
+		}
+	}
+	for _, listing := range c.servers {
+		if v.mayServe(listing) {
 			v.Usable[listing.Service] = append(v.Usable[listing.Service], listing)
 		}
 	}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -33,27 +33,24 @@
 	Usable map[string][]*Listing
 	// Evacuated holds the data centres that are taken out.
 	Evacuated map[string]bool
+	// byAddress holds the newest server at each address.
+	byAddress map[string]*Listing
 }
 
 // MayServe reports whether a server may get new work by this view.
 func (v *View) MayServe(id mesh.ServerID) bool {
 	l, ok := v.Servers[id]
-	return ok && l.State == mesh.ServerReady && !v.Evacuated[l.DataCentre]
+	return ok && v.mayServe(l)
 }
 
-// At returns the server with an address that joined last, which is the one
-// that listens there, or nil.
+func (v *View) mayServe(l *Listing) bool {
+	return l.State == mesh.ServerReady && !v.Evacuated[l.DataCentre] && v.byAddress[l.Address] == l
+}
+
+// At returns the server that listens at an address, or nil. Records of servers
+// that crashed outlive them for a while; the newest one is right.
 func (v *View) At(address string) *Listing {
-	var last *Listing
-	for _, l := range v.Servers {
-		if l.Address != address {
-			continue
-		}
-		if last == nil || newer(l, last) {
-			last = l
-		}
-	}
-	return last
+	return v.byAddress[address]
 }
 
 func newer(a, b *Listing) bool {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -17,9 +17,9 @@
 	"boragefall/internal/wire"
 )
 
-// inlineBytes is the longest body that is sent before the answer is awaited.
-// It fits a stream's window, so that sending never waits for the peer.
-const inlineBytes = 64 << 10
+// awaitBytes is the length beyond which a body is sent only once the gate wants
+// it, so that a refusal does not cost the body's way.
+const awaitBytes = 16 << 10
 
 const traceParentHeader = "traceparent"
 
@@ -46,17 +46,18 @@
 	carrier := propagation.MapCarrier{}
 	c.propagator.Inject(ctx, carrier)
 	head := encodeRequest(r, carrier[traceParentHeader], time.Now())
+	head.AwaitGo = r.ContentLength < 0 || r.ContentLength > awaitBytes
 	opening := &wire.Opening{Kind: &wire.Opening_Request{Request: head}}
 	stream, err := c.dialer.Open(ctx, address, opening)
 	if err != nil {
 		// Proof: Open fails before any byte of the opening is flushed.
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
-	call := &clientCall{stream: stream, sent: make(chan struct{})}
-	if r.ContentLength >= 0 && r.ContentLength <= inlineBytes {
-		call.sendBody(r)
+	call := &clientCall{stream: stream, sent: make(chan struct{}), goOn: make(chan bool, 1)}
+	if head.GetAwaitGo() {
+		go call.sendAwaited(r)
 	} else {
-		go call.sendBody(r)
+		call.sendBody(r)
 	}
 	answer, err := call.receive(ctx, r.ID)
 	if err != nil {
@@ -69,6 +70,17 @@
 type clientCall struct {
 	stream *link.Stream
 	sent   chan struct{}
+	// goOn receives whether an awaited body is to be sent.
+	goOn chan bool
+}
+
+// sendAwaited sends the head, and the body once the gate wants it.
+func (c *clientCall) sendAwaited(r *contract.Request) {
+	if c.stream.Flush() != nil || !<-c.goOn {
+		close(c.sent)
+		return
+	}
+	c.sendBody(r)
 }
 
 // sendBody sends the body. A failure shows at the receiving side: the gate
@@ -83,8 +95,15 @@
 
 func (c *clientCall) receive(ctx context.Context, id string) (*contract.Answer, error) {
 	head := &wire.AnswerHead{}
-	if err := c.stream.Receive(head); err != nil {
-		return nil, lostAnswer(ctx, err)
+	for {
+		if err := c.stream.Receive(head); err != nil {
+			return nil, lostAnswer(ctx, err)
+		}
+		if !head.GetGoOn() {
+			break
+		}
+		c.tellSender(true)
+		head.Reset()
 	}
 	if head.GetId() != id {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, ErrCrossed)
@@ -104,9 +123,18 @@
 	}, nil
 }
 
+// tellSender lets an awaited body go or not; only the first word counts.
+func (c *clientCall) tellSender(goOn bool) {
+	select {
+	case c.goOn <- goOn:
+	default:
+	}
+}
+
 // close ends the exchange; an upload under way is stopped first.
 func (c *clientCall) close() {
 	c.stream.Abort()
+	c.tellSender(false)
 	<-c.sent
 	c.stream.Close()
 }
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -47,6 +48,18 @@
 	defer cancel()
 	body := newRequestBody(stream, r)
 	r.Body = body
+	if head.GetAwaitGo() {
+		body.arriving = make(chan struct{})
+		body.want = func() error { return s.goOn(stream, r.ID) }
+	} else if r.ContentLength >= 0 {
+		// It came with the head. Once it is read, the end of the stream means
+		// that the caller left, also while the request waits for a slot.
+		whole, err := io.ReadAll(body)
+		r.Body = bytes.NewReader(whole)
+		if err != nil {
+			r.Body = io.MultiReader(r.Body, brokenBody{err})
+		}
+	}
 	watch := watchPeer(stream, body, cancel)
 	defer watch.stop()
 	answer, err := s.runner.Run(ctx, r)
@@ -85,6 +98,24 @@
 	}
 }
 
+// goOn asks the entry for an awaited body.
+func (s *Server) goOn(stream *link.Stream, id string) error {
+	if err := stream.Send(&wire.AnswerHead{Id: id, GoOn: true}); err != nil {
+		return err
+	}
+	return stream.Flush()
+}
+
+// brokenBody is the rest of a body that broke off.
+type brokenBody struct {
+	err error
+}
+
+// Read returns why the body broke off.
+func (b brokenBody) Read([]byte) (int, error) {
+	return 0, b.err
+}
+
 // requestBody is the body of a request at the gate. It may be closed while a
 // read is blocked.
 type requestBody struct {
@@ -92,6 +123,12 @@
 	reader *bodyReader
 	closed bool
 	ended  chan struct{}
+	// want asks the entry for the body; nil when it comes unasked. The answer is
+	// sent only after finish, so that the two never mix on the stream.
+	want func() error
+	// arriving is closed once a body that was asked for begins to arrive, or the
+	// stream has ended; nil when it comes unasked.
+	arriving chan struct{}
 }
 
 func newRequestBody(stream *link.Stream, r *contract.Request) *requestBody {
@@ -112,6 +149,14 @@
 	if b.closed {
 		return 0, http.ErrBodyReadAfterClose
 	}
+	if b.want != nil {
+		want := b.want
+		b.want = nil
+		if err := want(); err != nil {
+			return 0, err
+		}
+		<-b.arriving
+	}
 	return b.reader.Read(p)
 }
 
@@ -138,6 +183,14 @@
 
 func (w *peerWatch) run(cancel context.CancelFunc) {
 	defer close(w.done)
+	if w.body.arriving != nil {
+		err := w.stream.AwaitData()
+		close(w.body.arriving)
+		if err != nil {
+			cancel()
+			return
+		}
+	}
 	select {
 	case <-w.body.ended:
 	case <-w.quit:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,11 +35,12 @@
 
 // Config tunes a Feed. Zero fields take their defaults.
 type Config struct {
-	// Wait is how long a watch waits for an event. Default 10 s, half of the
-	// history that the platform keeps.
+	// Wait is how long a watch waits for an event. Default 3 s: a watch may go
+	// deaf when the store forgets its history, and only the next one shows it.
 	Wait time.Duration
 	// Gather is the pause after events before the next watch, so that a burst
-	// of changes costs few calls. Default 200 ms; it delays every change.
+	// of changes costs few calls. Default 350 ms; it delays every change, of
+	// which the strictest must be in force within 2 s.
 	Gather time.Duration
 	// RetryBase and RetryMax bound the pause after a failed call. Defaults
 	// 100 ms and 800 ms, so that a store that is back is noticed within a second.
@@ -58,8 +59,8 @@
 const probeWait = time.Millisecond
 
 const (
-	defaultWait         = 10 * time.Second
-	defaultGather       = 200 * time.Millisecond
+	defaultWait         = 3 * time.Second
+	defaultGather       = 350 * time.Millisecond
 	defaultRetryBase    = 100 * time.Millisecond
 	defaultRetryMax     = 800 * time.Millisecond
 	defaultPeerInterval = 400 * time.Millisecond
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -70,6 +70,13 @@
 	return ReadFrame(s.reader, m)
 }
 
+// AwaitData returns once there is something to receive, or why there never
+// will be.
+func (s *Stream) AwaitData() error {
+	_, err := s.reader.Peek(1)
+	return err
+}
+
 // Read reads raw bytes; it serves to notice the peer's close.
 func (s *Stream) Read(p []byte) (int, error) {
 	return s.reader.Read(p)
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -71,6 +72,9 @@
 	answer, err := x.run()
 	if err != nil {
 		x.abandon()
+		if x.bodyFailed.Load() {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, err)
+		}
 		return nil, verdict.New(verdict.MayHaveRun, lossReason(ctx), err)
 	}
 	return answer, nil
@@ -109,6 +113,8 @@
 	// written receives the result of writing a body that is sent beside the
 	// wait for the answer.
 	written chan error
+	// bodyFailed reports that the caller's body broke off.
+	bodyFailed atomic.Bool
 }
 
 func (x *exchange) run() (*Answer, error) {
@@ -147,11 +153,32 @@
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if r.ContentLength != 0 {
-		out.Body = io.NopCloser(r.Body)
+		out.Body = &watchedBody{Reader: r.Body, failed: &x.bodyFailed}
 	}
 	return out
 }
 
+// watchedBody notes that the caller's body broke off, which is no fault of the
+// server's.
+type watchedBody struct {
+	io.Reader
+	failed *atomic.Bool
+}
+
+// Read notes errors other than the end.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// Close does nothing: the body belongs to the request.
+func (b *watchedBody) Close() error {
+	return nil
+}
+
 func (x *exchange) write(out *http.Request) error {
 	if err := out.Write(x.conn.writer); err != nil {
 		return err
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -198,10 +198,14 @@
 	now := time.Now()
 	view := t.d.view()
 	listed := view.Usable[t.request.Service]
-	listing := t.d.balancer.Choose(listed, balance.Request{
-		BodyBytes: t.request.ContentLength, Tried: t.tried,
+	listing, full := t.d.balancer.Choose(listed, balance.Request{
+		BodyBytes: t.request.ContentLength, Tried: t.tried, Rank: t.request.Rank,
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Entries: len(view.Servers),
 	}, now)
+	if listing == nil && full > 0 {
+		// Proof: this attempt was sent nowhere.
+		return verdict.Refuse(verdict.ReasonOverloaded, full)
+	}
 	if listing == nil {
 		// Proof: this attempt was sent nowhere.
 		return verdict.Refuse(verdict.ReasonLacksResource, noServerWait)
@@ -249,8 +253,11 @@
 	}
 	d.balancer.Finish(listing.ID, load, now)
 	failure := verdict.Of(err)
-	if failure.Reason == verdict.ReasonUnreachable {
+	switch failure.Reason {
+	case verdict.ReasonUnreachable, verdict.ReasonLacksResource:
 		d.balancer.Avoid(listing.ID, now.Add(avoidUnreachable), now)
+	case verdict.ReasonOverloaded, verdict.ReasonCold:
+		d.balancer.Full(listing.ID, r.Rank, now.Add(failure.RetryAfter), now)
 	}
 	if failure.Reason == verdict.ReasonConnectionLost && load == nil && listing.Address != d.hop.address {
 		d.balancer.Avoid(listing.ID, now.Add(avoidUnreachable), now)
@@ -326,6 +333,11 @@
 	if t.refusal.Reason == verdict.ReasonQuarantined {
 		return t.giveUp()
 	}
+	// A request that reached a server and was refused there counts as a repeat
+	// when it reaches another.
+	if t.refusal.Reason == verdict.ReasonServerRefused && !t.d.budgetOf(t.request.Service).Take() {
+		return t.stopMoving()
+	}
 	if t.moves <= maxMoves && t.left() > minLeft && ctx.Err() == nil {
 		if t.start(ctx) == nil {
 			return nil, false, nil
@@ -337,6 +349,11 @@
 			}
 		}
 	}
+	return t.stopMoving()
+}
+
+// stopMoving waits for the attempts that still run, if any.
+func (t *task) stopMoving() (*contract.Answer, bool, *verdict.Error) {
 	if t.running > 0 {
 		return nil, false, nil
 	}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -48,6 +48,10 @@
 	seen *lru.Cache[string, bool]
 	// current is the server's last listing; nil before the first.
 	current *catalog.Listing
+	// answering is the server that answered last, by its own word, and heardAt
+	// is when; empty before the first.
+	answering mesh.ServerID
+	heardAt   time.Time
 	// evacuated is whether the server's data centre was taken out at the last view.
 	evacuated bool
 	stopping  bool
@@ -130,9 +134,33 @@
 	if !view.MayServe(id) {
 		return verdict.Refuse(verdict.ReasonLeaving, shortWait)
 	}
+	if h.replaced(view.Servers[id]) {
+		return verdict.Refuse(verdict.ReasonLacksResource, shortWait)
+	}
 	return nil
 }
 
+// replaced reports whether another server answered at the address after a
+// listing was first heard of.
+func (h *LastHop) replaced(l *catalog.Listing) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answering != "" && h.answering != l.ID && h.heardAt.After(l.Joined)
+}
+
+// heard notes which server answers at the address. It reports whether it is
+// another one than before.
+func (h *LastHop) heard(id mesh.ServerID) (changed bool) {
+	if id == "" {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed = h.answering != "" && h.answering != id
+	h.answering, h.heardAt = id, time.Now()
+	return changed
+}
+
 // handOver notes that a request goes to the server, unless it was barred.
 func (h *LastHop) handOver(id string) bool {
 	h.mu.Lock()
@@ -197,13 +225,17 @@
 	if a.Reply.NotRun {
 		// Proof: the server itself says that it did not run the request.
 		_ = a.Body.Close() // nothing of it is passed on
-		permit.Served(!a.Reply.OtherServer)
 		if a.Reply.OtherServer {
-			h.prober.doubt(false)
+			permit.Release()
+			if h.heard(a.Reply.Server) {
+				h.prober.doubt(false)
+			}
+		} else {
+			permit.Served(true)
 		}
 		h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("server", r.Server).Int("status", a.Status).
 			Str("answered_by", string(a.Reply.Server)).Msg("the server did not run it")
-		reason := verdict.ReasonOverloaded
+		reason := verdict.ReasonServerRefused
 		if a.Reply.OtherServer {
 			reason = verdict.ReasonLacksResource
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -57,6 +57,8 @@
 	// outOfTraffic is how long callers go on sending new work to a node that says
 	// it is not ready: the platform asks once a second and needs two answers.
 	outOfTraffic = 2500 * time.Millisecond
+	// shutdownTimeout bounds the closing of each listener after the drain.
+	shutdownTimeout = 100 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether it is idle.
 	stopPoll = 50 * time.Millisecond
 	// graceShare is the part of the permitted time after which a planned stop
@@ -278,7 +280,12 @@
 		}()
 		return nil
 	}, func(ctx context.Context) error {
-		return server.Shutdown(ctx)
+		ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			return server.Close()
+		}
+		return nil
 	}))
 }
 
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -102,6 +102,7 @@
 	}
 	_ = answer.Body.Close() // the headers say all
 	p.running = false
+	p.hop.heard(answer.Reply.Server)
 	p.log("server heard of", answer.Reply.ColdFor, nil)
 	p.hop.gate.Proved(answer.Reply.ColdFor)
 	return true
--- a/internal/verdict/error.go
+++ b/internal/verdict/error.go
@@ -35,6 +35,7 @@
 	ReasonBadRequest            // the request itself is malformed
 	ReasonBodyTooLarge          // the body is over a limit
 	ReasonRetryBudget           // no retry was left
+	ReasonServerRefused         // the backend server itself did not run it
 )
 
 var reasonTexts = [...]string{
@@ -42,7 +43,7 @@
 	"deadline", "canceled", "hop-limit", "unreachable", "connection-lost",
 	"cut-answer", "quarantined", "not-owner", "no-lease", "fenced", "unknown-key",
 	"key-conflict", "key-required", "ledger-full", "answer-lost", "bad-request",
-	"body-too-large", "retry-budget",
+	"body-too-large", "retry-budget", "server-refused",
 }
 
 // String returns the reason as it stands in logs, metrics and headers.
