--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -59,6 +59,9 @@
 	outOfTraffic = 2500 * time.Millisecond
 	// shutdownTimeout bounds the closing of each listener after the drain.
 	shutdownTimeout = 100 * time.Millisecond
+	// intakeClose bounds the closing of the callers' listener and of their unused
+	// connections; requests under way are waited for apart.
+	intakeClose = 10 * time.Millisecond
 	// stopPoll is how often a stopping node looks whether it is idle.
 	stopPoll = 50 * time.Millisecond
 	// graceShare is the part of the permitted time after which a planned stop
@@ -93,7 +96,7 @@
 		fx.Supply(s, o.Platform, o.Logger),
 		fx.Provide(
 			newCatalog, newMetrics, newDialers, newNeighbours, newPoisonOf, newServerClient, newLastHop,
-			newDispatcher, newEntry, newFeed, newStreams, newStopper, newFlags,
+			newDispatcher, newEntry, newCallersServer, newFeed, newStreams, newStopper, newFlags,
 		),
 		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
 		fx.Populate(&n.stopper),
@@ -242,10 +245,17 @@
 	}))
 }
 
-func startCallers(lc fx.Lifecycle, s settings.Settings, e *Entry, logger *log.Logger) {
-	serve(lc, logger, "callers", s.CallersListen, &http.Server{
+// callersServer serves callers. A planned stop ends it before the rest.
+type callersServer struct{ *http.Server }
+
+func newCallersServer(e *Entry) callersServer {
+	return callersServer{&http.Server{
 		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}}
+}
+
+func startCallers(lc fx.Lifecycle, s settings.Settings, callers callersServer, logger *log.Logger) {
+	serve(lc, logger, "callers", s.CallersListen, callers.Server)
 }
 
 func startReady(lc fx.Lifecycle, s settings.Settings, c *catalog.Catalog, f *flags, logger *log.Logger) {
--- a/internal/sidecar/stopper.go
+++ b/internal/sidecar/stopper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/phuslu/log"
@@ -11,39 +12,53 @@
 
 // stopper carries out a planned stop.
 type stopper struct {
-	grace  time.Duration
-	flags  *flags
-	hop    *LastHop
-	logger *log.Logger
+	grace   time.Duration
+	flags   *flags
+	hop     *LastHop
+	callers callersServer
+	logger  *log.Logger
 }
 
-func newStopper(s settings.Settings, f *flags, hop *LastHop, logger *log.Logger) *stopper {
-	return &stopper{grace: s.DrainLimit, flags: f, hop: hop, logger: logger}
+func newStopper(s settings.Settings, f *flags, hop *LastHop, callers callersServer, logger *log.Logger) *stopper {
+	return &stopper{grace: s.DrainLimit, flags: f, hop: hop, callers: callers, logger: logger}
 }
 
-// drain says that the node is not ready, refuses new work for its own server,
-// and waits: first until callers have turned elsewhere, then until nothing is
-// under way, but no longer than the permitted time allows.
+// drain says that the node is not ready and refuses new work for its own
+// server. Once callers have turned elsewhere it takes no new requests, and waits
+// until none is under way, but no longer than the permitted time allows.
 func (s *stopper) drain(ctx context.Context) {
 	started := time.Now()
 	s.logger.Info().Str("part", "node").Int64("busy", s.flags.busy.Load()).Msg("stopping")
 	s.flags.stopping.Store(true)
 	s.hop.SetStopping()
-	limit := time.Duration(graceShare * float64(s.grace))
+	s.wait(ctx, started.Add(outOfTraffic), func() bool { return false })
+	s.closeIntake(ctx)
+	limit := started.Add(time.Duration(graceShare * float64(s.grace)))
+	s.wait(ctx, limit, func() bool { return s.flags.busy.Load() == 0 && s.hop.Load().Running == 0 })
+	s.logger.Info().Str("part", "node").Int64("busy", s.flags.busy.Load()).Dur("took", time.Since(started)).Msg("drained")
+}
+
+// closeIntake closes the callers' listener and their unused connections. Some
+// callers go on sending to a node that says it is not ready; their requests
+// would be cut at the end.
+func (s *stopper) closeIntake(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, intakeClose)
+	defer cancel()
+	err := s.callers.Shutdown(ctx)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		s.logger.Warn().Str("part", "node").Err(err).Msg("callers' listener not closed")
+	}
+}
+
+// wait returns once done says so, at the limit or when the context ends.
+func (s *stopper) wait(ctx context.Context, limit time.Time, done func() bool) {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	for {
-		elapsed := time.Since(started)
-		load := s.hop.Load()
-		idle := s.flags.busy.Load() == 0 && load.Running == 0
-		if elapsed >= limit || idle && elapsed >= outOfTraffic {
-			break
-		}
+	for time.Now().Before(limit) && !done() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
 	}
-	s.logger.Info().Str("part", "node").Int64("busy", s.flags.busy.Load()).Dur("took", time.Since(started)).Msg("drained")
 }
