--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -25,6 +25,9 @@
 	// latePerSlots is the number of slots for which one request may wait that
 	// misses its objective.
 	latePerSlots = 3
+	// highPressure is the share of requests without room beyond which late ones
+	// are refused: those that are on time go first and leave nothing for them.
+	highPressure = 0.15
 	// learnRate is the weight of a new sample in the moving means.
 	learnRate = 0.1
 	// minRetryAfter is the least time to come back after a refusal; it is the
@@ -77,6 +80,8 @@
 	service mean
 	classes map[string]*mean
 	failing mean
+	// pressure is the share of requests that found no room on time lately.
+	pressure mean
 }
 
 // NewMachine returns a machine whose server was not heard of yet.
@@ -97,7 +102,11 @@
 	t := &Ticket{request: r, since: now, decided: make(chan *verdict.Error, 1)}
 	wait := m.expectedWait(t, now)
 	full := len(m.waiting) >= queuePerSlot*m.slots
-	if full || wait > 0 && !m.acceptable(r, now.Add(wait+m.typical(r.Class)), now) {
+	refused := full || wait > 0 && !m.acceptable(r, now.Add(wait+m.typical(r.Class)), now)
+	if !r.Settle {
+		m.pressure.add(share(refused))
+	}
+	if refused {
 		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(wait))
 	}
 	m.waiting = append(m.waiting, t)
@@ -112,7 +121,7 @@
 		return true
 	}
 	spare := r.Objective.Add(r.Deadline.Sub(r.Objective) / 2)
-	if !r.Settle || finish.After(spare) {
+	if !r.Settle || finish.After(spare) || m.pressed() {
 		return false
 	}
 	late := 0
@@ -124,6 +133,11 @@
 	return late < max(m.slots/latePerSlots, 1)
 }
 
+// pressed reports whether many requests find no room on time.
+func (m *Machine) pressed() bool {
+	return m.pressure.value > highPressure
+}
+
 // Next starts what may start and refuses what can't finish any more. It
 // returns when to call it again, or the zero time when only an event changes
 // anything.
@@ -145,12 +159,10 @@
 // Done ends a started ticket. failed reports that the server did not serve it.
 func (m *Machine) Done(t *Ticket, took time.Duration, failed bool) {
 	m.running--
-	if failed {
-		m.failing.add(1)
-		return
+	m.failing.add(share(failed))
+	if !failed {
+		m.learn(t.request.Class, took)
 	}
-	m.failing.add(0)
-	m.learn(t.request.Class, took)
 }
 
 // Outlasted notes that a request was given up after a time: the server is at
@@ -228,11 +240,13 @@
 	m.waiting = nil
 }
 
-// refuseHopeless answers the waiting requests that can't finish in time.
+// refuseHopeless answers the waiting requests that can't finish in time, and
+// under pressure those that can't meet their objective.
 func (m *Machine) refuseHopeless(now time.Time) {
 	kept := m.waiting[:0]
 	for _, t := range m.waiting {
-		if now.Add(m.typical(t.request.Class) / turnOver).After(t.request.Deadline) {
+		hopeless := now.Add(m.typical(t.request.Class) / turnOver).After(t.request.Deadline)
+		if hopeless || m.pressed() && m.late(t, now) {
 			t.decided <- verdict.Refuse(m.busyReason(now), minRetryAfter)
 			continue
 		}
@@ -352,6 +366,13 @@
 	return m.service.duration()
 }
 
+func share(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- /dev/null
+++ b/internal/admission/machine_test.go
@@ -0,0 +1,278 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/verdict"
+)
+
+var start = time.Unix(1000, 0)
+
+// warm returns a machine whose server is warm.
+func warm(slots int) *Machine {
+	m := NewMachine(slots, 10)
+	m.Proved(0, start)
+	return m
+}
+
+func request(now time.Time, objective, deadline time.Duration) Request {
+	return Request{Class: "read", Deadline: now.Add(deadline), Objective: now.Add(objective)}
+}
+
+// decided returns whether a ticket was decided, and how.
+func decided(t *Ticket) (bool, *verdict.Error) {
+	select {
+	case e := <-t.decided:
+		return true, e
+	default:
+		return false, nil
+	}
+}
+
+func TestNothingStartsBeforeTheServerWasHeardOf(t *testing.T) {
+	g := NewWithT(t)
+	m := NewMachine(4, 10)
+	ticket, refusal := m.Offer(request(start, time.Second, 2*time.Second), start)
+	g.Expect(refusal).To(BeNil())
+	m.Next(start)
+	g.Expect(decided(ticket)).To(BeFalse())
+	m.Proved(0, start)
+	m.Next(start)
+	g.Expect(decided(ticket)).To(BeTrue())
+}
+
+func TestADownServerRefusesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := NewMachine(4, 10)
+	waiting, _ := m.Offer(request(start, time.Second, 2*time.Second), start)
+	m.Down()
+	ok, refusal := decided(waiting)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+	_, refusal = m.Offer(request(start, time.Second, 2*time.Second), start)
+	g.Expect(refusal.Reason).To(Equal(verdict.ReasonUnreachable))
+}
+
+func TestALeavingServerRefusesWhatWaits(t *testing.T) {
+	g := NewWithT(t)
+	m := warm(1)
+	for range 2 {
+		_, refusal := m.Offer(request(start, time.Second, 2*time.Second), start)
+		g.Expect(refusal).To(BeNil())
+	}
+	m.Next(start)
+	waiting := m.waiting[0]
+	m.SetClosed(true)
+	ok, refusal := decided(waiting)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(refusal.Reason).To(Equal(verdict.ReasonLeaving))
+	g.Expect(m.running).To(Equal(1))
+}
+
+func TestTheMoreUrgentGoesFirst(t *testing.T) {
+	g := NewWithT(t)
+	m := warm(1)
+	_, _ = m.Offer(request(start, time.Second, 2*time.Second), start)
+	m.Next(start)
+	late, _ := m.Offer(Request{Class: "bulk", Priority: 2, Deadline: start.Add(time.Second), Objective: start.Add(500 * time.Millisecond)}, start)
+	urgent, _ := m.Offer(Request{Class: "order", Priority: 1, Deadline: start.Add(2 * time.Second), Objective: start.Add(time.Second)}, start)
+	m.Release()
+	m.Next(start)
+	g.Expect(decided(urgent)).To(BeTrue())
+	g.Expect(decided(late)).To(BeFalse())
+}
+
+// TestInvariants plays drawn schedules: the slots and the cold rate hold at
+// every moment, and each request is decided once.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		rate := float64(rapid.IntRange(1, 20).Draw(t, "rate"))
+		m := NewMachine(slots, rate)
+		now := start
+		m.Proved(time.Duration(rapid.IntRange(0, 5000).Draw(t, "cold"))*time.Millisecond, now)
+		var started []time.Time
+		var running, waiting []*Ticket
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				r := request(now, time.Duration(rapid.IntRange(1, 500).Draw(t, "objective"))*time.Millisecond, time.Second)
+				r.Settle = rapid.Bool().Draw(t, "settle")
+				if ticket, refusal := m.Offer(r, now); refusal == nil {
+					waiting = append(waiting, ticket)
+				}
+			case 2:
+				if len(running) > 0 {
+					m.Done(running[0], now.Sub(running[0].started), false)
+					running = running[1:]
+				}
+			case 3:
+				if rapid.IntRange(0, 20).Draw(t, "turns cold") == 0 {
+					m.ColdUntil(now.Add(time.Second))
+					started = nil // what started before counted for a warm server
+				}
+			}
+			m.Next(now)
+			kept := waiting[:0]
+			for _, w := range waiting {
+				ok, refusal := decided(w)
+				switch {
+				case !ok:
+					kept = append(kept, w)
+				case refusal == nil:
+					running = append(running, w)
+					if m.cold(now) {
+						started = append(started, now)
+					}
+				}
+			}
+			waiting = kept
+			if len(running) > slots || m.running != len(running) {
+				t.Fatalf("%d running, %d counted, %d slots", len(running), m.running, slots)
+			}
+			checkColdRate(t, started, rate)
+		}
+	})
+}
+
+// checkColdRate checks the platform's bound: in any second at most the rate
+// times 1.5. The slack that it permits beside that is not used.
+func checkColdRate(t *rapid.T, started []time.Time, rate float64) {
+	const overshoot = 1.5
+	for i := range started {
+		n := 0
+		for _, at := range started[i:] {
+			if at.Sub(started[i]) < time.Second {
+				n++
+			}
+		}
+		if limit := int(math.Max(rate*overshoot, 1)); n > limit {
+			t.Fatalf("%d starts within a second, limit %d", n, limit)
+		}
+	}
+}
+
+// pattern is a load on one server, played in virtual time.
+type pattern struct {
+	slots     int
+	service   time.Duration
+	every     time.Duration // between arrivals
+	length    time.Duration
+	objective time.Duration
+	deadline  time.Duration
+	// coldFor is how long the server is cold from the start.
+	coldFor time.Duration
+	rate    float64
+}
+
+// outcome counts what became of a pattern's requests.
+type outcome struct {
+	onTime, late, refused int
+	// heldInVain counts the refusals that came more than an eighth of the
+	// objective after the request.
+	heldInVain int
+}
+
+// play runs a pattern through a machine. Service times vary by half.
+func play(p pattern) outcome {
+	random := rand.New(rand.NewPCG(1, 2))
+	m := NewMachine(p.slots, p.rate)
+	m.Proved(p.coldFor, start)
+	type run struct {
+		ticket *Ticket
+		ends   time.Time
+	}
+	var out outcome
+	var running []run
+	type waiter struct {
+		ticket *Ticket
+		came   time.Time
+	}
+	var waiting []waiter
+	next := start
+	for now := start; now.Before(start.Add(p.length + p.deadline)); now = now.Add(time.Millisecond) {
+		kept := running[:0]
+		for _, r := range running {
+			if now.Before(r.ends) {
+				kept = append(kept, r)
+				continue
+			}
+			m.Done(r.ticket, now.Sub(r.ticket.started), false)
+			if now.After(r.ticket.request.Objective) {
+				out.late++
+			} else {
+				out.onTime++
+			}
+		}
+		running = kept
+		for !now.Before(next) && next.Before(start.Add(p.length)) {
+			next = next.Add(p.every)
+			r := request(now, p.objective, p.deadline)
+			ticket, refusal := m.Offer(r, now)
+			if refusal != nil {
+				r.Settle = true // the entry asks once more when all others refused
+				ticket, refusal = m.Offer(r, now)
+			}
+			if refusal != nil {
+				out.refused++
+				continue
+			}
+			waiting = append(waiting, waiter{ticket, now})
+		}
+		m.Next(now)
+		stay := waiting[:0]
+		for _, w := range waiting {
+			ok, refusal := decided(w.ticket)
+			switch {
+			case !ok:
+				stay = append(stay, w)
+			case refusal == nil:
+				took := time.Duration((0.75 + random.Float64()/2) * float64(p.service))
+				running = append(running, run{w.ticket, now.Add(took)})
+			default:
+				out.refused++
+				if now.Sub(w.came) > p.objective/8 {
+					out.heldInVain++
+				}
+			}
+		}
+		waiting = stay
+	}
+	return out
+}
+
+// A burst of twice what a server can do for several seconds: a queue in the
+// order of arrival makes every request late. What the slots can do on time is
+// the measure.
+func TestBurstOfTwiceTheCapacity(t *testing.T) {
+	g := NewWithT(t)
+	p := pattern{
+		slots: 9, service: 160 * time.Millisecond, every: 9 * time.Millisecond, length: 10 * time.Second,
+		objective: 500 * time.Millisecond, deadline: 1200 * time.Millisecond, rate: 11,
+	}
+	o := play(p)
+	capacity := int(p.length/p.service) * p.slots
+	g.Expect(o.onTime).To(BeNumerically(">=", capacity*8/10), "%+v of %d", o, capacity)
+	g.Expect(o.heldInVain).To(BeNumerically("<=", capacity/10), "%+v", o)
+}
+
+// All servers are back cold after a loss of power and get more than twice what
+// they bear: the first requests must not fill them with late work.
+func TestColdReturnUnderFullLoad(t *testing.T) {
+	g := NewWithT(t)
+	p := pattern{
+		slots: 9, service: 320 * time.Millisecond, every: 40 * time.Millisecond, length: 3 * time.Second,
+		objective: 500 * time.Millisecond, deadline: 1200 * time.Millisecond, coldFor: 3 * time.Second, rate: 11,
+	}
+	o := play(p)
+	bears := int(p.rate * p.length.Seconds())
+	g.Expect(o.onTime).To(BeNumerically(">=", bears*8/10), "%+v of %d", o, bears)
+	g.Expect(o.heldInVain).To(BeNumerically("<=", bears/5), "%+v", o)
+}
--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,138 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/catalog"
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/mesh"
+)
+
+var start = time.Unix(1000, 0)
+
+func newBalancer() *Balancer {
+	random := rand.New(rand.NewPCG(1, 2))
+	b := New("north")
+	b.random = random.Float64
+	return b
+}
+
+// listed returns servers a0, a1, .. in the data centres named.
+func listed(dataCentres ...string) []*catalog.Listing {
+	var out []*catalog.Listing
+	for i, dc := range dataCentres {
+		out = append(out, &catalog.Listing{Server: &mesh.Server{ID: mesh.ServerID(fmt.Sprint("a", i)), DataCentre: dc, Slots: 9}})
+	}
+	return out
+}
+
+func warmLoad(running int) *contract.Load {
+	return &contract.Load{Running: running, Limit: 9, State: host.StateWarm, Service: 160 * time.Millisecond}
+}
+
+// counts makes choices, each of which ends at once with the server's load.
+func counts(b *Balancer, servers []*catalog.Listing, r Request, loads map[mesh.ServerID]*contract.Load, n int, every time.Duration) map[mesh.ServerID]int {
+	out := map[mesh.ServerID]int{}
+	now := start
+	for range n {
+		l, _ := b.Choose(servers, r, now)
+		if l == nil {
+			out["none"]++
+		} else {
+			out[l.ID]++
+			b.Finish(l.ID, loads[l.ID], now)
+		}
+		now = now.Add(every)
+	}
+	return out
+}
+
+func TestUploadsStayInTheirDataCentreWhileItHasRoom(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "south", "west")
+	loads := map[mesh.ServerID]*contract.Load{"a0": warmLoad(7), "a1": warmLoad(0), "a2": warmLoad(0)}
+	got := counts(newBalancer(), servers, Request{BodyBytes: 60_000}, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
+}
+
+func TestSmallRequestsLeaveAFullDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "south")
+	loads := map[mesh.ServerID]*contract.Load{"a0": warmLoad(18), "a1": warmLoad(2)}
+	got := counts(newBalancer(), servers, Request{}, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a1"]).To(BeNumerically(">", 150), "%v", got)
+}
+
+func TestAFailingServerIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "north")
+	failing := warmLoad(0)
+	failing.Failing = 0.5
+	loads := map[mesh.ServerID]*contract.Load{"a0": failing, "a1": warmLoad(4)}
+	got := counts(newBalancer(), servers, Request{}, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a1"]).To(BeNumerically(">", 180), "%v", got)
+}
+
+func TestAServerThatRecoversIsTriedAgain(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "north")
+	slow := warmLoad(0)
+	slow.Service = 2 * time.Second
+	b := newBalancer()
+	counts(b, servers, Request{}, map[mesh.ServerID]*contract.Load{"a0": slow, "a1": warmLoad(3)}, 20, 10*time.Millisecond)
+	now := start.Add(12 * time.Second)
+	found := false
+	for range 100 {
+		l, _ := b.Choose(servers, Request{}, now)
+		found = found || l.ID == "a0"
+		b.Finish(l.ID, nil, now)
+	}
+	g.Expect(found).To(BeTrue())
+}
+
+// A server that has just joined gets its part of the rate that it bears, from
+// all entries together.
+func TestAColdServerGetsItsShareOfTheColdRate(t *testing.T) {
+	g := NewWithT(t)
+	const entries, rate, seconds = 14, 11.0, 60
+	servers := listed("north", "north")
+	servers[0].ColdUntil = start.Add(time.Hour)
+	cold := warmLoad(0)
+	cold.State = host.StateCold
+	loads := map[mesh.ServerID]*contract.Load{"a0": cold, "a1": warmLoad(3)}
+	got := counts(newBalancer(), servers, Request{ColdRate: rate, Entries: entries}, loads, seconds*15, time.Second/15)
+	share := rate / entries * seconds
+	g.Expect(float64(got["a0"])).To(And(BeNumerically(">", share/2), BeNumerically("<=", share+1)), "%v", got)
+}
+
+func TestFullServersAreNotAskedAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer()
+	servers := listed("north", "south")
+	b.Full("a0", 2, start.Add(200*time.Millisecond), start)
+	b.Full("a1", 2, start.Add(100*time.Millisecond), start)
+	l, wait := b.Choose(servers, Request{Rank: 2}, start)
+	g.Expect(l).To(BeNil())
+	g.Expect(wait).To(Equal(100 * time.Millisecond))
+	l, _ = b.Choose(servers, Request{Rank: 1}, start)
+	g.Expect(l).NotTo(BeNil(), "a more urgent request may still find room")
+	l, _ = b.Choose(servers, Request{Rank: 2}, start.Add(150*time.Millisecond))
+	g.Expect(l.ID).To(BeEquivalentTo("a1"))
+}
+
+func TestAnUnreachableServerIsTheLastChoice(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer()
+	servers := listed("north", "south")
+	b.Avoid("a0", start.Add(time.Second), start)
+	l, _ := b.Choose(servers, Request{}, start)
+	g.Expect(l.ID).To(BeEquivalentTo("a1"))
+	l, _ = b.Choose(servers, Request{Tried: []mesh.ServerID{"a1"}}, start)
+	g.Expect(l.ID).To(BeEquivalentTo("a0"))
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,252 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/catalog"
+	"boragefall/internal/mesh"
+	"boragefall/internal/telemetry"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+// plain is a decoder whose keys say the subject and whose values are JSON of
+// the project's own types.
+type plain struct{}
+
+func (plain) Decode(item catalog.Item) (catalog.Record, error) {
+	subject, name := item.Key[:1], item.Key[1:]
+	switch subject {
+	case "c":
+		r := catalog.Record{Subject: catalog.SubjectConfig}
+		if !item.Deleted {
+			r.Config = &mesh.Config{}
+			return r, json.Unmarshal(item.Value, r.Config)
+		}
+		return r, nil
+	case "s":
+		r := catalog.Record{Subject: catalog.SubjectServer, ServerID: mesh.ServerID(name)}
+		if item.Deleted {
+			return r, nil
+		}
+		s := &mesh.Server{}
+		if err := json.Unmarshal(item.Value, s); err != nil {
+			return r, eris.Wrap(err, "server")
+		}
+		r.Server = s
+		return r, nil
+	case "e":
+		return catalog.Record{Subject: catalog.SubjectEvacuation, DataCentre: name}, nil
+	default:
+		return catalog.Record{}, nil
+	}
+}
+
+func value(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func config(version, revision uint64) catalog.Item {
+	return catalog.Item{Key: "c", Revision: revision, Value: value(mesh.Config{Version: version})}
+}
+
+func server(id string, revision uint64, change ...func(*mesh.Server)) catalog.Item {
+	s := mesh.Server{ID: mesh.ServerID(id), Service: "orders", Address: "10.0.0.1:1", DataCentre: "north", Slots: 4}
+	for _, c := range change {
+		c(&s)
+	}
+	return catalog.Item{Key: "s" + id, Revision: revision, Value: value(s)}
+}
+
+func at(address string) func(*mesh.Server) {
+	return func(s *mesh.Server) { s.Address = address }
+}
+
+func gone(key string, revision uint64) catalog.Item {
+	return catalog.Item{Key: key, Revision: revision, Deleted: true}
+}
+
+func usable(c *catalog.Catalog) []string {
+	var ids []string
+	for _, l := range c.View().Usable["orders"] {
+		ids = append(ids, string(l.ID))
+	}
+	return ids
+}
+
+var _ = Describe("the catalog", func() {
+	var c *catalog.Catalog
+	now := time.Unix(1000, 0)
+
+	BeforeEach(func() { c = catalog.New(plain{}, telemetry.Silent()) })
+
+	It("keeps the newest configuration when an older one arrives late", func() {
+		c.Apply([]catalog.Item{config(7, 20)}, 20, now)
+		c.Apply([]catalog.Item{config(6, 19)}, 19, now)
+		c.Apply([]catalog.Item{config(5, 21)}, 21, now)
+		Expect(c.View().Config.Version).To(BeEquivalentTo(7))
+		Expect(c.View().Revision).To(BeEquivalentTo(21))
+	})
+
+	It("keeps the configuration in force when its item can't be read", func() {
+		c.Apply([]catalog.Item{config(7, 20)}, 20, now)
+		c.Apply([]catalog.Item{{Key: "c", Revision: 21, Value: []byte("{")}}, 21, now)
+		Expect(c.View().Config.Version).To(BeEquivalentTo(7))
+	})
+
+	It("takes a draining server out at once, also while the store is away", func() {
+		c.Apply([]catalog.Item{server("a", 1), server("b", 2, at("10.0.0.2:1"))}, 2, now)
+		c.StoreLost()
+		c.Merge([]catalog.Item{server("a", 3, func(s *mesh.Server) { s.State = mesh.ServerDraining })}, []string{"sa", "sb"}, 3, now)
+		Expect(usable(c)).To(Equal([]string{"b"}))
+		Expect(c.View().MayServe("a")).To(BeFalse())
+	})
+
+	It("takes a server out at once when its record ends in calm times", func() {
+		c.Apply([]catalog.Item{server("a", 1)}, 1, now)
+		c.Apply([]catalog.Item{gone("sa", 2)}, 2, now)
+		Expect(usable(c)).To(BeEmpty())
+	})
+
+	It("keeps a server whose record lapsed with the store, and drops it when it stays away", func() {
+		c.Apply([]catalog.Item{server("a", 1), server("b", 2, at("10.0.0.2:1"))}, 2, now)
+		c.StoreLost()
+		c.Tick(now.Add(time.Hour))
+		Expect(c.StoreBack(now)).To(BeTrue())
+		c.Apply([]catalog.Item{gone("sa", 3), gone("sb", 4)}, 4, now)
+		Expect(usable(c)).To(Equal([]string{"a", "b"}))
+		c.Apply([]catalog.Item{server("b", 5, at("10.0.0.2:1"))}, 5, now.Add(time.Second))
+		c.Tick(now.Add(catalog.ReturnGrace - time.Millisecond))
+		Expect(usable(c)).To(Equal([]string{"a", "b"}))
+		c.Tick(now.Add(catalog.ReturnGrace))
+		Expect(usable(c)).To(Equal([]string{"b"}))
+	})
+
+	It("lets a malformed entry name no server and the others hold", func() {
+		c.Apply([]catalog.Item{server("a", 1), server("b", 2, at("10.0.0.2:1"))}, 2, now)
+		c.StoreLost() // a malformed entry is no lapse
+		c.Apply([]catalog.Item{{Key: "sa", Revision: 3, Value: []byte("[]")}}, 3, now)
+		Expect(usable(c)).To(Equal([]string{"b"}))
+	})
+
+	It("uses only the newest server at an address", func() {
+		// After a power loss the records of dead servers outlive them, and each
+		// request sent to one costs a refusal.
+		c.Apply([]catalog.Item{server("old", 1, func(s *mesh.Server) { s.Born = 100 })}, 1, now)
+		c.Apply([]catalog.Item{server("new", 2, func(s *mesh.Server) { s.Born = 200 })}, 2, now)
+		c.Apply([]catalog.Item{server("old", 3, func(s *mesh.Server) { s.Born = 100; s.Slots = 5 })}, 3, now)
+		Expect(usable(c)).To(Equal([]string{"new"}))
+		Expect(c.View().At("10.0.0.1:1").ID).To(BeEquivalentTo("new"))
+	})
+
+	It("takes the servers of an evacuated data centre out until it is taken back", func() {
+		c.Apply([]catalog.Item{server("a", 1)}, 1, now)
+		c.Apply([]catalog.Item{{Key: "enorth", Revision: 2, Value: []byte("{}")}}, 2, now)
+		Expect(usable(c)).To(BeEmpty())
+		Expect(c.View().MayServe("a")).To(BeFalse())
+		c.Apply([]catalog.Item{gone("enorth", 3)}, 3, now)
+		Expect(usable(c)).To(Equal([]string{"a"}))
+	})
+
+	It("drops what a complete list lacks, but not what is newer than the list", func() {
+		c.Apply([]catalog.Item{server("a", 1), server("b", 9, at("10.0.0.2:1"))}, 9, now)
+		c.Replace(nil, 5, now)
+		Expect(usable(c)).To(Equal([]string{"b"}))
+	})
+
+	It("does not go back to a peer's older copy", func() {
+		c.Apply([]catalog.Item{server("a", 8)}, 8, now)
+		c.Merge(nil, nil, 5, now)
+		Expect(usable(c)).To(Equal([]string{"a"}))
+	})
+
+	It("remembers when an incarnation joined, and until when it is cold", func() {
+		c.Apply([]catalog.Item{server("a", 1, func(s *mesh.Server) { s.ColdFor = 3 * time.Second })}, 1, now)
+		c.Apply([]catalog.Item{server("a", 2)}, 2, now.Add(time.Second))
+		l := c.View().Servers["a"]
+		Expect(l.Joined).To(Equal(now))
+		Expect(l.ColdUntil.IsZero()).To(BeTrue())
+	})
+})
+
+// TestEventsInAnyOrderGiveOneView applies the same events to a catalog in order
+// and to another crossed, twice and through a peer's copy.
+func TestEventsInAnyOrderGiveOneView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var events []catalog.Item
+		for revision := uint64(1); revision <= uint64(rapid.IntRange(1, 30).Draw(t, "events")); revision++ {
+			name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				events = append(events, server(name, revision, at("10.0.0."+name+":1")))
+			case 1:
+				events = append(events, gone("s"+name, revision))
+			case 2:
+				events = append(events, config(revision, revision))
+			case 3:
+				events = append(events, catalog.Item{Key: "enorth", Revision: revision, Deleted: rapid.Bool().Draw(t, "back")})
+			}
+		}
+		last := events[len(events)-1].Revision
+		ordered := catalog.New(plain{}, telemetry.Silent())
+		ordered.Apply(events, last, now)
+		crossed := catalog.New(plain{}, telemetry.Silent())
+		for range 2 {
+			for _, i := range rapid.Permutation(indexes(len(events))).Draw(t, "order") {
+				before := crossed.View().Config
+				crossed.Apply(events[i:i+1], 0, now)
+				if after := crossed.View().Config; before != nil && after.Version < before.Version {
+					t.Fatalf("version %d after %d", after.Version, before.Version)
+				}
+			}
+		}
+		peer := catalog.New(plain{}, telemetry.Silent())
+		peer.Merge(must(ordered.Since(0)))
+		for _, c := range []*catalog.Catalog{crossed, peer} {
+			if got, want := describe(c), describe(ordered); got != want {
+				t.Fatalf("got %s, want %s", got, want)
+			}
+		}
+	})
+}
+
+func must(items []catalog.Item, keys []string, revision uint64) ([]catalog.Item, []string, uint64, time.Time) {
+	return items, keys, revision, time.Unix(1000, 0)
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func describe(c *catalog.Catalog) string {
+	v := c.View()
+	version := uint64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	ids := map[mesh.ServerID]bool{}
+	for id := range v.Servers {
+		ids[id] = true
+	}
+	return fmt.Sprint(version, ids, v.Evacuated)
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,192 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"boragefall/internal/catalog"
+	"boragefall/internal/feed"
+	"boragefall/internal/telemetry"
+)
+
+// everything decodes any item to something that the catalog keeps.
+type everything struct{}
+
+func (everything) Decode(catalog.Item) (catalog.Record, error) {
+	return catalog.Record{Subject: catalog.SubjectEvacuation, DataCentre: "north"}, nil
+}
+
+// fakeStore answers as a test scripts.
+type fakeStore struct {
+	mu    sync.Mutex
+	items []catalog.Item
+	// down makes calls fail; gone makes watches report that history is gone.
+	down, gone bool
+	// deaf makes watches wait without hearing events.
+	deaf    bool
+	lists   int
+	watches int
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) put(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, catalog.Item{Key: "k", Revision: revision})
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeStore) List(context.Context) ([]catalog.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.down {
+		return nil, 0, errDown
+	}
+	s.gone = false
+	return s.items[len(s.items)-1:], s.items[len(s.items)-1].Revision, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Item, uint64, error) {
+	s.set(func() { s.watches++ })
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		last := s.items[len(s.items)-1]
+		down, gone, deaf := s.down, s.gone, s.deaf
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errDown
+		case gone && !deaf:
+			return nil, 0, feed.ErrHistoryGone
+		case !deaf && last.Revision > after:
+			return []catalog.Item{last}, last.Revision, nil
+		case !time.Now().Before(end) || ctx.Err() != nil:
+			s.set(func() { s.deaf = false })
+			return nil, after, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+type fakePeers struct{ revision uint64 }
+
+func (p *fakePeers) Query(context.Context, uint64) ([]catalog.Item, []string, uint64, error) {
+	if p.revision == 0 {
+		return nil, nil, 0, errDown
+	}
+	return []catalog.Item{{Key: "k", Revision: p.revision}}, []string{"k"}, p.revision, nil
+}
+
+type noMeter struct{}
+
+func (noMeter) StoreCalled(string, string) {}
+
+// run plays a feed in virtual time.
+func run(t *testing.T, store *fakeStore, peers *fakePeers, play func(*catalog.Catalog)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := catalog.New(everything{}, telemetry.Silent())
+		f := feed.New(feed.Config{}, store, peers, c, noMeter{}, telemetry.Silent())
+		ctx, cancel := context.WithCancel(t.Context())
+		var work sync.WaitGroup
+		work.Go(func() { f.Run(ctx) })
+		work.Go(func() { f.Tick(ctx) })
+		play(c)
+		cancel()
+		work.Wait()
+	})
+}
+
+func wantRevision(t *testing.T, c *catalog.Catalog, want uint64) {
+	t.Helper()
+	if got := c.View().Revision; got != want {
+		t.Fatalf("revision %d, want %d", got, want)
+	}
+}
+
+// configBound is the strictest time in which a change must be in force.
+const configBound = 2 * time.Second
+
+func TestAChangeIsAppliedWithinItsBound(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		for revision := uint64(2); revision < 20; revision++ {
+			store.put(revision)
+			time.Sleep(configBound / 2)
+			wantRevision(t, c, revision)
+		}
+	})
+}
+
+func TestABurstOfChangesCostsFewCalls(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		const changes, gap = 100, 50 * time.Millisecond
+		for revision := uint64(2); revision < 2+changes; revision++ {
+			store.put(revision)
+			time.Sleep(gap)
+		}
+		// Three calls a second are enough for a bound of two seconds.
+		if limit := 1 + 3*int((changes*gap+time.Second).Seconds()); store.watches > limit {
+			t.Fatalf("%d watches, want %d at most", store.watches, limit)
+		}
+	})
+}
+
+func TestForgottenHistoryIsListedAnew(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		store.put(7)
+		store.set(func() { store.gone = true })
+		time.Sleep(time.Second)
+		wantRevision(t, c, 7)
+	})
+}
+
+// A watch may hear nothing more, without an error, when the store drops its
+// history under it. The platform counts the store as stable again three seconds
+// after that, and then a change must be in force within its bound.
+func TestADeafWatchIsRenewed(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		store.set(func() { store.deaf, store.gone = true, true })
+		store.put(7)
+		time.Sleep(3*time.Second + configBound/2)
+		wantRevision(t, c, 7)
+	})
+}
+
+func TestPeersServeANodeThatTheStoreTurnsAway(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}, down: true}
+	peers := &fakePeers{revision: 9}
+	run(t, store, peers, func(c *catalog.Catalog) {
+		time.Sleep(configBound)
+		wantRevision(t, c, 9)
+	})
+}
+
+func TestAStoreThatIsBackIsNoticedWithinASecond(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}, down: true}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(20 * time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(time.Second)
+		wantRevision(t, c, 1)
+	})
+}
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -33,6 +33,8 @@
 	// must not run twice: a server may have forgotten an older one, and then
 	// nobody can say whether the request ran. Default 2 s.
 	FreshFor time.Duration
+	// Now tells the time by which idle connections age. Default time.Now.
+	Now func() time.Time
 	// MaxConnections bounds the connections until SetMaxConnections. Default 64.
 	MaxConnections int
 }
@@ -63,6 +65,9 @@
 	if c.MaxConnections == 0 {
 		c.MaxConnections = defaultMaxConnections
 	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	return c
 }
 
@@ -127,7 +132,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		idle := time.Since(c.idleSince)
+		idle := p.cfg.Now().Sub(c.idleSince)
 		if idle >= c.idleLimit || mustBeFresh && idle >= p.cfg.FreshFor || !c.quiet() {
 			p.discard(c)
 			continue
@@ -173,7 +178,7 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(c *conn, idleLimit time.Duration) {
-	c.idleSince, c.idleLimit = time.Now(), p.cfg.IdleLimit
+	c.idleSince, c.idleLimit = p.cfg.Now(), p.cfg.IdleLimit
 	if idleLimit > 0 {
 		c.idleLimit = max(idleLimit-idleMargin, 0)
 	}
--- /dev/null
+++ b/internal/serverconn/serverconn_test.go
@@ -0,0 +1,340 @@
+package serverconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/contract"
+	"boragefall/internal/protocol"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/verdict"
+)
+
+func TestServerConn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "serverconn")
+}
+
+// headers is a protocol with headers of this test's own.
+type headers struct{}
+
+func (headers) Call(http.Header) protocol.Call { return protocol.Call{} }
+func (headers) SetOrder(h http.Header, o protocol.Order) {
+	h.Set("Id", o.ID)
+}
+func (headers) Reply(status int, h http.Header) protocol.Reply {
+	r := protocol.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	if h.Get("Idle") != "" {
+		r.IdleLimit = time.Second
+	}
+	return r
+}
+func (headers) Refusal(http.Header, string, *verdict.Error) int { return 0 }
+
+// server is a TCP server whose connections a test scripts.
+type server struct {
+	net.Listener
+	mu    sync.Mutex
+	conns int
+}
+
+func (s *server) accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// listen serves each connection with a script, which gets the number of the
+// connection from 0.
+func listen(script func(n int, c net.Conn, r *bufio.Reader)) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &server{Listener: l}
+	DeferCleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			n := s.conns
+			s.conns++
+			s.mu.Unlock()
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// readRequest reads a request and returns its id and body.
+func readRequest(r *bufio.Reader) (id, body string, ok bool) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", false
+	}
+	data, err := io.ReadAll(request.Body)
+	return request.Header.Get("Id"), string(data), err == nil
+}
+
+func reply(c net.Conn, id, body string, extra ...string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), strings.Join(extra, ""), body)
+}
+
+func client(s *server, change ...func(*serverconn.Config)) *serverconn.Client {
+	cfg := serverconn.Config{Address: s.Addr().String()}
+	for _, c := range change {
+		c(&cfg)
+	}
+	return serverconn.NewClient(serverconn.NewPool(cfg), headers{})
+}
+
+func get(id string) serverconn.Request {
+	return serverconn.Request{
+		Request: &contract.Request{ID: id, Method: http.MethodGet, URI: "/a%2Fb?x=1", Host: "h.example", Header: http.Header{}, Idempotent: true, Body: http.NoBody},
+		Order:   protocol.Order{ID: id},
+	}
+}
+
+func do(c *serverconn.Client, r serverconn.Request) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := c.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+var _ = Describe("a connection to the server", func() {
+	It("carries request after request, byte for byte", func() {
+		lines := make(chan string, 2)
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				lines <- strings.TrimSpace(line)
+				for strings.TrimSpace(line) != "" {
+					if line, err = r.ReadString('\n'); err != nil {
+						return
+					}
+				}
+				reply(c, "1", "one")
+			}
+		})
+		c := client(s)
+		for range 2 {
+			Expect(do(c, get("1"))).To(Equal("one"))
+			Expect(lines).To(Receive(Equal("GET /a%2Fb?x=1 HTTP/1.1")))
+		}
+		Expect(s.accepted()).To(Equal(1))
+	})
+
+	It("passes over a second answer to an earlier request", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				if id == "2" {
+					reply(c, "1", "late")
+				}
+				reply(c, id, "answer "+id)
+			}
+		})
+		c := client(s)
+		Expect(do(c, get("1"))).To(Equal("answer 1"))
+		Expect(do(c, get("2"))).To(Equal("answer 2"))
+		Expect(s.accepted()).To(Equal(1))
+	})
+
+	It("is not used again when bytes follow a complete answer", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				reply(c, id, "answer "+id+"trailing garbage"[:0])
+				_, _ = io.WriteString(c, "garbage")
+			}
+		})
+		c := client(s)
+		Expect(do(c, get("1"))).To(Equal("answer 1"))
+		time.Sleep(20 * time.Millisecond)
+		Expect(do(c, get("2"))).To(Equal("answer 2"))
+		Expect(s.accepted()).To(Equal(2))
+	})
+
+	DescribeTable("never passes a part of an answer off as whole",
+		func(script func(c net.Conn)) {
+			s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, ok := readRequest(r); ok {
+					script(c)
+				}
+			})
+			_, err := do(client(s), get("1"))
+			Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+			Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonConnectionLost))
+		},
+		Entry("cut before the stated length", func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nshort")
+		}),
+		Entry("cut between chunks", func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		}),
+		Entry("reset without a length", func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}),
+		Entry("no HTTP at all", func(c net.Conn) { _, _ = io.WriteString(c, "\x00\x01nonsense\r\n\r\n") }),
+		Entry("only answers to others", func(c net.Conn) {
+			for range 8 {
+				reply(c, "other", "x")
+			}
+		}),
+	)
+
+	It("takes an answer without a length that ends with its connection", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\nwhole")
+		})
+		Expect(do(client(s), get("1"))).To(Equal("whole"))
+	})
+
+	It("is not used again when the server answers before the body is in", func() {
+		s := listen(func(n int, c net.Conn, r *bufio.Reader) {
+			if n == 0 {
+				_, _ = r.ReadString('\n')
+				reply(c, "1", "early")
+				time.Sleep(time.Second)
+				return
+			}
+			id, _, _ := readRequest(r)
+			reply(c, id, "second")
+		})
+		c := client(s)
+		upload := get("1")
+		upload.Method, upload.ContentLength, upload.Body = http.MethodPost, 32<<20, io.LimitReader(endless{}, 32<<20)
+		Expect(do(c, upload)).To(Equal("early"))
+		Expect(do(c, get("2"))).To(Equal("second"))
+		Expect(s.accepted()).To(Equal(2))
+	})
+
+	It("proves that nothing was sent when no connection is made", func() {
+		s := listen(func(int, net.Conn, *bufio.Reader) {})
+		_ = s.Close()
+		_, err := do(client(s), get("1"))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonUnreachable))
+	})
+
+	It("is replaced when the server closed it while it was idle", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			id, _, _ := readRequest(r)
+			reply(c, id, "answer "+id)
+		})
+		c := client(s)
+		Expect(do(c, get("1"))).To(Equal("answer 1"))
+		time.Sleep(20 * time.Millisecond)
+		order := get("2")
+		order.Idempotent = false
+		Expect(do(c, order)).To(Equal("answer 2"))
+	})
+
+	It("ends before the server's own idle limit, and sooner for what must not run twice", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				reply(c, id, "answer", "Idle: 1\r\n")
+			}
+		})
+		now := time.Unix(1000, 0)
+		c := client(s, func(cfg *serverconn.Config) {
+			cfg.FreshFor = 50 * time.Millisecond
+			cfg.Now = func() time.Time { return now }
+		})
+		_, _ = do(c, get("1"))
+		now = now.Add(100 * time.Millisecond)
+		_, _ = do(c, get("2"))
+		Expect(s.accepted()).To(Equal(1))
+		now = now.Add(100 * time.Millisecond)
+		order := get("3")
+		order.Idempotent = false
+		_, _ = do(c, order)
+		Expect(s.accepted()).To(Equal(2))
+		now = now.Add(time.Second)
+		_, _ = do(c, get("4"))
+		Expect(s.accepted()).To(Equal(3))
+	})
+
+	It("closes at once when its caller leaves", func() {
+		closed := make(chan time.Time, 1)
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _, _ = readRequest(r)
+			_, _ = r.ReadByte()
+			closed <- time.Now()
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		left := time.Now()
+		_, err := client(s).Do(ctx, get("1"))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonCanceled))
+		var at time.Time
+		Eventually(closed).Should(Receive(&at))
+		// A server must not work half a second for a caller that has left.
+		Expect(at.Sub(left)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
+	It("blames the caller when the body breaks off", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) { _, _, _ = readRequest(r) })
+		upload := get("1")
+		upload.Method, upload.ContentLength = http.MethodPost, 100
+		upload.Body = io.MultiReader(strings.NewReader("part"), broken{})
+		_, err := do(client(s), upload)
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonCanceled))
+	})
+
+	It("keeps to the limit of connections", func() {
+		s := listen(func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte(); time.Sleep(time.Second) })
+		c := client(s, func(cfg *serverconn.Config) { cfg.MaxConnections = 1 })
+		go func() { _, _ = do(c, get("1")) }()
+		Eventually(s.accepted).Should(Equal(1))
+		_, err := do(c, get("2"))
+		Expect(err).To(MatchError(serverconn.ErrConnectionLimit))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	})
+})
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, errors.New("the caller left") }
