--- /dev/null
+++ b/test/mesh/failures_test.go
@@ -0,0 +1,194 @@
+package mesh
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/standin"
+)
+
+const (
+	perSecond   = 60
+	drainBound  = 2 * time.Second // after which a leaving server gets nothing
+	configBound = 2 * time.Second // in which a configuration is in force
+)
+
+var _ = Describe("a mesh of node processes", func() {
+	var f *fleet
+
+	BeforeEach(func() { f = startFleet(nil) })
+
+	It("serves every kind of request on a calm day", func() {
+		calls := f.during(perSecond, func() { time.Sleep(3 * time.Second) })
+		f.checkPromises(calls)
+		for _, c := range calls {
+			Expect(c.good()).To(BeTrue(), "%+v\n%s", c, f.logsOf(c.id))
+		}
+	})
+
+	It("cuts no request off at planned stops, one after the other", func() {
+		calls := f.during(perSecond, func() {
+			for _, m := range f.machines[:2] {
+				m.signal(syscall.SIGTERM)
+				Expect(m.wait()).To(Succeed())
+				m.start()
+				Eventually(m.isReady, patience).Should(BeTrue())
+			}
+		})
+		f.checkPromises(calls)
+		for _, c := range calls {
+			// A caller may find the port closed; then nothing was read.
+			closed := c.err != nil && strings.Contains(c.err.Error(), "connection refused")
+			Expect(c.good() || closed || c.status == http.StatusServiceUnavailable).To(BeTrue(), "%+v\n%s", c, f.logsOf(c.id))
+		}
+	})
+
+	It("keeps its promises when nodes are killed and restarted", func() {
+		calls := f.during(perSecond, func() {
+			for _, m := range f.machines {
+				m.kill()
+				m.start()
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+		})
+		f.checkPromises(calls)
+	})
+
+	It("sends nothing new to a leaving server after its bound", func() {
+		m := f.machines[0]
+		id := m.server.ID()
+		var drained time.Time
+		calls := f.during(perSecond, func() {
+			time.Sleep(500 * time.Millisecond)
+			m.server.Drain()
+			drained = time.Now()
+			time.Sleep(2 * drainBound)
+		})
+		f.checkPromises(calls)
+		for _, run := range f.record.Runs() {
+			if run.Server == id {
+				Expect(run.At.Sub(drained)).To(BeNumerically("<", drainBound))
+			}
+		}
+	})
+
+	It("gives a server that comes back cold no more than it bears", func() {
+		m := f.machines[1]
+		calls := f.during(4*perSecond, func() {
+			m.server.Crash()
+			time.Sleep(300 * time.Millisecond)
+			Expect(m.server.Start()).To(Succeed())
+			time.Sleep(2 * coldFor)
+		})
+		f.checkPromises(calls)
+		checkColdRate(f.record.Runs())
+	})
+
+	It("has a change in force everywhere within its bound, and never an older one after", func() {
+		calls := f.during(perSecond, func() {
+			f.publish(func(routes []map[string]any) []map[string]any {
+				added := map[string]any{}
+				for key, value := range routes[0] {
+					added[key] = value
+				}
+				added["name"], added["prefix"] = "added", "/added/"
+				return append(routes, added)
+			})
+			time.Sleep(configBound)
+			for range 20 {
+				for _, m := range f.machines {
+					Expect(f.do(m, http.MethodGet, "/added/a", nil).good()).To(BeTrue())
+				}
+			}
+		})
+		f.checkPromises(calls)
+	})
+
+	DescribeTable("goes on while the store is away, and a restarted node learns from its peers",
+		func(mode standin.MetaStoreMode) {
+			f.store.SetMode(mode)
+			m := f.machines[3]
+			m.kill()
+			m.start()
+			Eventually(m.isReady, patience).Should(BeTrue())
+			calls := f.during(perSecond, func() { time.Sleep(2 * time.Second) })
+			f.checkPromises(calls)
+			Expect(goodShare(calls, time.Time{})).To(BeNumerically(">=", 0.99))
+			f.store.SetMode(standin.MetaStoreUp)
+			f.publish(func(routes []map[string]any) []map[string]any { routes[0]["prefix"] = "/moved/"; return routes })
+			Eventually(func() bool { return f.do(m, http.MethodGet, "/moved/a", nil).good() }, patience).Should(BeTrue())
+		},
+		Entry("it answers 503", standin.MetaStoreBusy),
+		Entry("it is silent", standin.MetaStoreSilent),
+	)
+
+	It("learns changes that came while the store forgot its history", func() {
+		f.store.SetMode(standin.MetaStoreBusy)
+		f.publish(func(routes []map[string]any) []map[string]any { routes[0]["prefix"] = "/moved/"; return routes })
+		f.store.Compact()
+		f.store.SetMode(standin.MetaStoreUp)
+		for _, m := range f.machines {
+			Eventually(func() bool { return f.do(m, http.MethodGet, "/moved/a", nil).good() }, patience).Should(BeTrue())
+		}
+	})
+
+	It("explains a refused request by its id", func() {
+		for _, m := range f.machines[:hostsEach] {
+			m.server.Leave()
+		}
+		var refused call
+		Eventually(func() string {
+			refused = f.do(f.machines[4], http.MethodGet, "/status/a", nil)
+			return f.logsOf(refused.id)
+		}, patience).Should(And(
+			ContainSubstring(`"reason":"lacks-resource"`), ContainSubstring("answered by the node itself"),
+		))
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("reads its settings again on SIGHUP and drops nothing", func() {
+		m := f.machines[0]
+		calls := f.during(perSecond, func() {
+			for range 5 {
+				m.signal(syscall.SIGHUP)
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		f.checkPromises(calls)
+		Expect(goodShare(calls, time.Time{})).To(Equal(1.0))
+		data, err := os.ReadFile(m.log)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(ContainSubstring("settings"))
+	})
+})
+
+// checkColdRate checks that no cold server got more than one and a half times
+// its rate, and a few requests beside, in any second.
+func checkColdRate(runs []standin.MeshRun) {
+	GinkgoHelper()
+	const overshoot, slack = 1.5, 5
+	byServer := map[string][]time.Time{}
+	for _, run := range runs {
+		if run.Cold {
+			byServer[run.Server] = append(byServer[run.Server], run.At)
+		}
+	}
+	for server, times := range byServer {
+		for i := range times {
+			n := 0
+			for _, at := range times[i:] {
+				if at.Sub(times[i]) < time.Second {
+					n++
+				}
+			}
+			Expect(n).To(BeNumerically("<=", int(coldRate*overshoot+slack)), server)
+		}
+	}
+}
