Do not refuse a popular request for long on hearsay

test/fleet "turn cold without warning" timed out in half of the runs: one server stayed cold since its gate refused the test's only request as quarantined. All servers had crashed by a cold start at once, a copy of the request met two of them in one chain of attempts, and the third gate convicted its fingerprint for ten minutes by the request's own count. Traced with counts of refusals by reason at that gate (only "quarantined") and the entries' choices (the server was chosen, 10% at its data centre). Ruled out: a restart that fails (the port answered), entries that pass it over, a leak of outstanding requests.

A conviction by the request's own word now holds for 5 s, within which the gates that saw the crashes have told their own; after that one copy runs in isolation. TestPopularRequestThatMetTwoCrashesElsewhere fails on the old rule.

--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -38,7 +38,7 @@
 		return g.refuseConvicted(left)
 	}
 	if g.quarantine.atLeast(r.Fingerprint, r.Crashes, now) {
-		return g.refuseConvicted(g.cfg.QuarantineFor)
+		return g.refuseConvicted(g.cfg.HearsayFor)
 	}
 	return nil
 }
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -39,6 +39,10 @@
 	// QuarantineFor is how long a convicted fingerprint is refused, and how
 	// long a suspect one is remembered. Default 10 min.
 	QuarantineFor time.Duration
+	// HearsayFor is how long a fingerprint is refused that only the request
+	// itself says to have crashed servers. Within it the gates of those servers
+	// have told this one, if they convicted it. Default 5 s.
+	HearsayFor time.Duration
 	// QuarantineSize bounds the convicted fingerprints, and apart from them the
 	// suspect ones. Default 1024 fingerprints.
 	QuarantineSize int
@@ -75,6 +79,7 @@
 	defaultHintTTL          = 3 * time.Second
 	defaultHintDistrust     = 20
 	defaultQuarantineFor    = 10 * time.Minute
+	defaultHearsayFor       = 5 * time.Second
 	defaultQuarantineSize   = 1024
 	defaultTrustSize        = 4096
 	defaultSuspectHold      = 250 * time.Millisecond
@@ -103,6 +108,7 @@
 	fill(&c.HintTTL, defaultHintTTL)
 	fill(&c.HintDistrust, defaultHintDistrust)
 	fill(&c.QuarantineFor, defaultQuarantineFor)
+	fill(&c.HearsayFor, defaultHearsayFor)
 	fill(&c.QuarantineSize, defaultQuarantineSize)
 	fill(&c.TrustSize, defaultTrustSize)
 	fill(&c.SuspectHold, defaultSuspectHold)
--- a/internal/gate/failures_test.go
+++ b/internal/gate/failures_test.go
@@ -232,6 +232,25 @@
 	})
 }
 
+// When all servers of a service turn cold without a word, a request that many
+// callers send passes through two crashes of which it is not the cause, and a
+// third gate hears of it by the request itself. That gate must not refuse the
+// same request of all callers for as long as one that it saw crash its server.
+func TestPopularRequestThatMetTwoCrashesElsewhere(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const popular = 7
+		_, err := admitNow(g, Request{Fingerprint: popular, Idempotent: true, Crashes: crashesToConvict})
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonQuarantined))
+		_, err = admitNow(g, Request{Fingerprint: popular, Idempotent: true})
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonQuarantined))
+		time.Sleep(10 * time.Second) // a caller's outage, far below QuarantineFor
+		p, err := admitNow(g, Request{Fingerprint: popular, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(good())
+		Expect(g.Suspects()).To(BeEmpty())
+	})
+}
+
 func TestPoisonRequestAcrossServersOfOneService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -103,13 +103,20 @@
 	return s.crashes
 }
 
-// atLeast notes crashes that others saw and reports whether the fingerprint is
-// convicted by them.
+// atLeast notes crashes that a request says it met and reports whether the
+// fingerprint is convicted by them, which holds for a short time only: the
+// servers may have crashed for a reason of their own, such as a cold start that
+// hit them all.
 func (q *quarantine) atLeast(fp uint64, crashes int, now time.Time) bool {
 	if fp == 0 || crashes <= q.crashesOf(fp, now) || q.trusts(fp, now) {
 		return false
 	}
-	return q.set(fp, crashes, now, false)
+	if crashes < crashesToConvict {
+		return q.set(fp, crashes, now, false)
+	}
+	q.suspects.Remove(fp)
+	q.convicted.Add(fp, conviction{until: now.Add(q.cfg.HearsayFor)})
+	return true
 }
 
 // crashed notes that a fingerprint was on the server when it crashed and
