--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,10 @@
 // seconds; the rest is for the event's way to this node.
 const ReturnGrace = 2500 * time.Millisecond
 
+// maxDeletions bounds the deletions that are remembered for peers that ask what
+// changed; beyond it they get everything.
+const maxDeletions = 256
+
 // Catalog applies items of the store. It is safe for concurrent use.
 type Catalog struct {
 	decoder Decoder
@@ -25,10 +30,16 @@
 
 	mu       sync.Mutex
 	revision uint64
+	// advanced is closed when revision grows.
+	advanced chan struct{}
 	items    map[string]Item
-	config   *mesh.Config
-	table    *mesh.Table
-	servers  map[mesh.ServerID]*Listing
+	// deleted counts the deletions in items. Those up to deletionsFrom have been
+	// forgotten.
+	deleted       int
+	deletionsFrom uint64
+	config        *mesh.Config
+	table         *mesh.Table
+	servers       map[mesh.ServerID]*Listing
 	// lapsing holds the time from which a suspect server counts as gone.
 	lapsing   map[mesh.ServerID]time.Time
 	evacuated map[string]bool
@@ -42,12 +53,14 @@
 // New returns an empty catalog.
 func New(decoder Decoder, logger *log.Logger) *Catalog {
 	c := &Catalog{
-		decoder:   decoder,
-		logger:    logger,
-		items:     map[string]Item{},
-		servers:   map[mesh.ServerID]*Listing{},
-		lapsing:   map[mesh.ServerID]time.Time{},
-		evacuated: map[string]bool{},
+		decoder:       decoder,
+		logger:        logger,
+		advanced:      make(chan struct{}),
+		items:         map[string]Item{},
+		deletionsFrom: 1,
+		servers:       map[mesh.ServerID]*Listing{},
+		lapsing:       map[mesh.ServerID]time.Time{},
+		evacuated:     map[string]bool{},
 	}
 	c.publish()
 	return c
@@ -87,11 +100,7 @@
 func (c *Catalog) Replace(items []Item, revision uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
-		listed[item.Key] = true
-	}
-	c.dropMissing(listed, revision, now)
+	c.dropMissing(keysOf(items), revision, now)
 	for _, item := range items {
 		c.apply(item, now)
 	}
@@ -100,41 +109,70 @@
 	c.publish()
 }
 
-// Merge takes in a peer's copy: its items beyond this node's revision and all
-// keys that exist at the peer's revision.
-func (c *Catalog) Merge(items []Item, keys []string, revision uint64, now time.Time) {
+// Merge takes in what a peer knows beyond this node's revision. complete
+// reports that items are all that exist at the peer's revision.
+func (c *Catalog) Merge(items []Item, complete bool, revision uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision <= c.revision {
 		return
 	}
-	listed := make(map[string]bool, len(keys))
-	for _, key := range keys {
-		listed[key] = true
+	if complete {
+		c.dropMissing(keysOf(items), revision, now)
 	}
-	c.dropMissing(listed, revision, now)
 	for _, item := range items {
 		c.apply(item, now)
 	}
 	c.reached(revision)
+	c.expire(now)
 	c.publish()
 }
 
-// Since returns the items beyond a revision, all keys and the revision that
-// they are valid at.
-func (c *Catalog) Since(revision uint64) (items []Item, keys []string, at uint64) {
+func keysOf(items []Item) map[string]bool {
+	keys := make(map[string]bool, len(items))
+	for _, item := range items {
+		keys[item.Key] = true
+	}
+	return keys
+}
+
+// Since returns what changed after a revision, and the revision up to which it
+// is known. It returns all that exists, and reports so, when it no longer knows
+// what was deleted since.
+func (c *Catalog) Since(revision uint64) (items []Item, complete bool, at uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, item := range c.items {
-		if item.Deleted {
-			continue
-		}
-		keys = append(keys, key)
-		if item.Revision > revision {
+	complete = revision < c.deletionsFrom
+	for _, item := range c.items {
+		if complete && !item.Deleted || !complete && item.Revision > revision {
 			items = append(items, item)
 		}
 	}
-	return items, keys, c.revision
+	return items, complete, c.revision
+}
+
+// Revision returns the revision up to which the store is known.
+func (c *Catalog) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// Await returns once more than a revision is known, or the context ends.
+func (c *Catalog) Await(ctx context.Context, revision uint64) {
+	for {
+		c.mu.Lock()
+		known, advanced := c.revision, c.advanced
+		c.mu.Unlock()
+		if known > revision {
+			return
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // StoreLost notes that the store does not answer: records that end from now on
@@ -171,7 +209,12 @@
 }
 
 func (c *Catalog) reached(revision uint64) {
-	c.revision = max(c.revision, revision)
+	if revision <= c.revision {
+		return
+	}
+	c.revision = revision
+	close(c.advanced)
+	c.advanced = make(chan struct{})
 }
 
 // apply takes one item in unless it is older than what is known of its key.
@@ -179,7 +222,7 @@
 	if known, ok := c.items[item.Key]; ok && item.Revision <= known.Revision {
 		return false
 	}
-	c.items[item.Key] = item
+	c.store(item)
 	record, err := c.decoder.Decode(item)
 	if err != nil {
 		c.logger.Warn().Str("part", "catalog").Str("key", item.Key).Uint64("revision", item.Revision).
@@ -198,6 +241,28 @@
 	return true
 }
 
+// store keeps an item, and forgets old deletions when there are many.
+func (c *Catalog) store(item Item) {
+	if c.items[item.Key].Deleted {
+		c.deleted--
+	}
+	c.items[item.Key] = item
+	if !item.Deleted {
+		return
+	}
+	c.deleted++
+	if c.deleted <= maxDeletions {
+		return
+	}
+	for key, old := range c.items {
+		if old.Deleted && key != item.Key {
+			c.deletionsFrom = max(c.deletionsFrom, old.Revision)
+			delete(c.items, key)
+		}
+	}
+	c.deleted = 1
+}
+
 // applyConfig swaps the configuration. A version that can't be read, or is not
 // newer, leaves the one in force.
 func (c *Catalog) applyConfig(config *mesh.Config, revision uint64) {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -112,7 +112,7 @@
 	It("takes a draining server out at once, also while the store is away", func() {
 		c.Apply([]catalog.Item{server("a", 1), server("b", 2, at("10.0.0.2:1"))}, 2, now)
 		c.StoreLost()
-		c.Merge([]catalog.Item{server("a", 3, func(s *mesh.Server) { s.State = mesh.ServerDraining })}, []string{"sa", "sb"}, 3, now)
+		c.Merge([]catalog.Item{server("a", 3, func(s *mesh.Server) { s.State = mesh.ServerDraining })}, false, 3, now)
 		Expect(usable(c)).To(Equal([]string{"b"}))
 		Expect(c.View().MayServe("a")).To(BeFalse())
 	})
@@ -171,7 +171,7 @@
 
 	It("does not go back to a peer's older copy", func() {
 		c.Apply([]catalog.Item{server("a", 8)}, 8, now)
-		c.Merge(nil, nil, 5, now)
+		c.Merge(nil, true, 5, now)
 		Expect(usable(c)).To(Equal([]string{"a"}))
 	})
 
@@ -184,6 +184,27 @@
 	})
 })
 
+// TestManyDeletionsAreForgotten asks for changes since before the oldest
+// deletion that is remembered.
+func TestManyDeletionsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	leader, follower := catalog.New(plain{}, telemetry.Silent()), catalog.New(plain{}, telemetry.Silent())
+	leader.Apply([]catalog.Item{server("first", 1)}, 1, now)
+	follower.Merge(must(leader.Since(0)))
+	revision := uint64(1)
+	for i := range 600 {
+		name := fmt.Sprint("s", i)
+		leader.Apply([]catalog.Item{server(name, revision+1), gone("s"+name, revision+2)}, revision+2, now)
+		revision += 2
+	}
+	leader.Apply([]catalog.Item{gone("sfirst", revision+1)}, revision+1, now)
+	items, _, _ := leader.Since(0)
+	g.Expect(items).To(BeEmpty())
+	follower.Merge(must(leader.Since(follower.Revision())))
+	g.Expect(describe(follower)).To(Equal(describe(leader)))
+}
+
 // TestEventsInAnyOrderGiveOneView applies the same events to a catalog in order
 // and to another crossed, twice and through a peer's copy.
 func TestEventsInAnyOrderGiveOneView(t *testing.T) {
@@ -218,7 +239,16 @@
 		}
 		peer := catalog.New(plain{}, telemetry.Silent())
 		peer.Merge(must(ordered.Since(0)))
-		for _, c := range []*catalog.Catalog{crossed, peer} {
+		// A follower asks for what changed since it last asked.
+		follower := catalog.New(plain{}, telemetry.Silent())
+		leader := catalog.New(plain{}, telemetry.Silent())
+		for i, event := range events {
+			leader.Apply(events[i:i+1], event.Revision, now)
+			if rapid.Bool().Draw(t, "asks") || i == len(events)-1 {
+				follower.Merge(must(leader.Since(follower.Revision())))
+			}
+		}
+		for _, c := range []*catalog.Catalog{crossed, peer, follower} {
 			if got, want := describe(c), describe(ordered); got != want {
 				t.Fatalf("got %s, want %s", got, want)
 			}
@@ -226,8 +256,8 @@
 	})
 }
 
-func must(items []catalog.Item, keys []string, revision uint64) ([]catalog.Item, []string, uint64, time.Time) {
-	return items, keys, revision, time.Unix(1000, 0)
+func must(items []catalog.Item, complete bool, revision uint64) ([]catalog.Item, bool, uint64, time.Time) {
+	return items, complete, revision, time.Unix(1000, 0)
 }
 
 func indexes(n int) []int {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,5 +1,7 @@
-// Package feed keeps a node's catalog up to date: it lists and watches the
-// store, and asks other nodes while the store does not answer this one.
+// Package feed keeps a node's catalog up to date. A few nodes of each data
+// centre list and watch the store; the others follow their copy, and read the
+// store themselves when that copy gets old. While the store does not answer, a
+// node asks any other.
 package feed
 
 import (
@@ -27,17 +29,47 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Item, uint64, error)
 }
 
+// State is what a peer knows of the store beyond a revision.
+type State struct {
+	// Items changed after the revision; Complete reports that they are all that
+	// exist.
+	Items    []catalog.Item
+	Complete bool
+	// Revision is the one up to which the peer knows the store.
+	Revision uint64
+	// Age is the time since the peer's copy was known to be current.
+	Age time.Duration
+}
+
 // Peers are the other nodes' copies of the store.
 type Peers interface {
-	// Query asks one peer for what it knows beyond a revision.
-	Query(ctx context.Context, revision uint64) (items []catalog.Item, keys []string, at uint64, err error)
+	// Leader returns the node whose copy this one follows, and false when this
+	// node is to read the store itself.
+	Leader(now time.Time) (address string, ok bool)
+	// Avoid keeps a node from being the leader until a time.
+	Avoid(address string, until time.Time)
+	// Follow asks a node for what it knows beyond a revision, as soon as there is
+	// something or the wait is over.
+	Follow(ctx context.Context, address string, revision uint64, wait time.Duration) (State, error)
+	// Query asks any node at once.
+	Query(ctx context.Context, revision uint64) (State, error)
 }
 
 // Config tunes a Feed. Zero fields take their defaults.
 type Config struct {
-	// Wait is how long a watch waits for an event. Default 3 s: a watch may go
-	// deaf when the store forgets its history, and only the next one shows it.
+	// Wait is how long a watch waits for an event. Default 600 ms: the end of a
+	// watch shows followers that the store still answers their leader, and that
+	// the watch did not go deaf when the store forgot its history.
 	Wait time.Duration
+	// FollowWait is how long a leader waits for something newer. Default 500 ms.
+	FollowWait time.Duration
+	// MaxAge is the age of a leader's copy at which a follower reads the store
+	// itself. Default 1250 ms: Wait, Gather and a slow store's answer. Together
+	// with FollowWait it stays below the strictest bound of a change, 2 s.
+	MaxAge time.Duration
+	// DirectFor is how long a follower whose leader failed reads the store, and
+	// AvoidLeader how long it passes over that leader. Defaults 2 s and 10 s.
+	DirectFor, AvoidLeader time.Duration
 	// Gather is the pause after events before the next watch, so that a burst
 	// of changes costs few calls. Default 350 ms; it delays every change, of
 	// which the strictest must be in force within 2 s.
@@ -59,7 +91,11 @@
 const probeWait = time.Millisecond
 
 const (
-	defaultWait         = 3 * time.Second
+	defaultWait         = 600 * time.Millisecond
+	defaultFollowWait   = 500 * time.Millisecond
+	defaultMaxAge       = 1250 * time.Millisecond
+	defaultDirectFor    = 2 * time.Second
+	defaultAvoidLeader  = 10 * time.Second
 	defaultGather       = 350 * time.Millisecond
 	defaultRetryBase    = 100 * time.Millisecond
 	defaultRetryMax     = 800 * time.Millisecond
@@ -70,6 +106,10 @@
 
 func (c Config) withDefaults() Config {
 	fill(&c.Wait, defaultWait)
+	fill(&c.FollowWait, defaultFollowWait)
+	fill(&c.MaxAge, defaultMaxAge)
+	fill(&c.DirectFor, defaultDirectFor)
+	fill(&c.AvoidLeader, defaultAvoidLeader)
 	fill(&c.Gather, defaultGather)
 	fill(&c.RetryBase, defaultRetryBase)
 	fill(&c.RetryMax, defaultRetryMax)
@@ -100,6 +140,12 @@
 	logger  *log.Logger
 	// lost reports that the last call of the store failed.
 	lost atomic.Bool
+	// currentAt is when the catalog was last known to be current, in Unix
+	// nanoseconds.
+	currentAt atomic.Int64
+	// listed reports that the catalog may be watched from its revision; only Run
+	// touches it.
+	listed bool
 }
 
 // New returns a feed.
@@ -109,20 +155,27 @@
 
 // Run reads until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	var revision uint64 // 0 until a list was read
 	pause := f.cfg.RetryBase
+	var directUntil time.Time
 	for ctx.Err() == nil {
-		next, changed, err := f.read(ctx, revision)
+		now := time.Now()
+		if leader, ok := f.peers.Leader(now); ok && f.listed && !f.lost.Load() && !now.Before(directUntil) {
+			if !f.follow(ctx, leader) {
+				f.peers.Avoid(leader, now.Add(f.cfg.AvoidLeader))
+				directUntil = now.Add(f.cfg.DirectFor)
+			}
+			continue
+		}
+		changed, err := f.read(ctx)
 		switch {
 		case err == nil:
-			f.answered()
-			revision, pause = next, f.cfg.RetryBase
+			pause = f.cfg.RetryBase
 			if changed {
 				f.sleep(ctx, f.cfg.Gather)
 			}
 		case errors.Is(err, ErrHistoryGone):
-			f.logger.Info().Str("part", "feed").Uint64("revision", revision).Msg("history gone, listing anew")
-			revision = 0
+			f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("history gone, listing anew")
+			f.listed = false
 		case ctx.Err() != nil:
 			return
 		default:
@@ -133,32 +186,53 @@
 	}
 }
 
-// read makes one call and applies what it brings.
-func (f *Feed) read(ctx context.Context, revision uint64) (next uint64, changed bool, err error) {
-	if revision == 0 {
+// follow asks the leader once. It reports false when this node is to read the
+// store itself.
+func (f *Feed) follow(ctx context.Context, leader string) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.FollowWait+f.cfg.PeerTimeout)
+	defer cancel()
+	state, err := f.peers.Follow(ctx, leader, f.catalog.Revision(), f.cfg.FollowWait)
+	now := time.Now()
+	if err != nil || state.Age > f.cfg.MaxAge {
+		f.logger.Info().Str("part", "feed").Str("leader", leader).Dur("age", state.Age).AnErr("cause", err).
+			Msg("leader not followed, reading the store")
+		return false
+	}
+	f.catalog.Merge(state.Items, state.Complete, state.Revision, now)
+	f.currentAt.Store(now.Add(-state.Age).UnixNano())
+	return true
+}
+
+// Age returns the time since the catalog was known to be current.
+func (f *Feed) Age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, f.currentAt.Load()))
+}
+
+// read makes one call of the store and applies what it brings.
+func (f *Feed) read(ctx context.Context) (changed bool, err error) {
+	if !f.listed {
 		items, at, err := f.store.List(ctx)
 		f.count("list", err)
 		if err != nil {
-			return 0, false, err
+			return false, err
 		}
 		f.answered()
 		f.catalog.Replace(items, at, time.Now())
-		return at, false, nil
+		f.listed = true
+		return false, nil
 	}
 	wait := f.cfg.Wait
 	if f.lost.Load() {
 		wait = probeWait
 	}
-	events, at, err := f.store.Watch(ctx, revision, wait)
+	events, at, err := f.store.Watch(ctx, f.catalog.Revision(), wait)
 	f.count("watch", err)
 	if err != nil {
-		return revision, false, err
+		return false, err
 	}
 	f.answered()
-	now := time.Now()
-	f.catalog.Apply(events, at, now)
-	f.catalog.Tick(now)
-	return max(at, revision), len(events) > 0, nil
+	f.catalog.Apply(events, at, time.Now())
+	return len(events) > 0, nil
 }
 
 func (f *Feed) count(call string, err error) {
@@ -174,6 +248,7 @@
 
 func (f *Feed) answered() {
 	f.lost.Store(false)
+	f.currentAt.Store(time.Now().UnixNano())
 	if f.catalog.StoreBack(time.Now()) {
 		f.logger.Info().Str("part", "feed").Msg("store answers again")
 	}
@@ -189,15 +264,16 @@
 func (f *Feed) queryPeer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.PeerTimeout)
 	defer cancel()
-	known := f.catalog.View().Revision
-	items, keys, at, err := f.peers.Query(ctx, known)
+	known := f.catalog.Revision()
+	state, err := f.peers.Query(ctx, known)
 	if err != nil {
 		f.logger.Debug().Str("part", "feed").Err(err).Msg("peer gave no state")
 		return
 	}
-	if at > known {
-		f.catalog.Merge(items, keys, at, time.Now())
-		f.logger.Info().Str("part", "feed").Uint64("revision", at).Int("items", len(items)).Msg("state taken from a peer")
+	if state.Revision > known {
+		f.catalog.Merge(state.Items, state.Complete, state.Revision, time.Now())
+		f.logger.Info().Str("part", "feed").Uint64("revision", state.Revision).Int("items", len(state.Items)).
+			Msg("state taken from a peer")
 	}
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -80,13 +80,63 @@
 	}
 }
 
-type fakePeers struct{ revision uint64 }
+// fakePeers answers as a test scripts.
+type fakePeers struct {
+	mu sync.Mutex
+	// revision is what any peer knows; 0 makes queries fail.
+	revision uint64
+	// leader reports that there is one to follow, whose copy has an age.
+	leader bool
+	age    time.Duration
+	// silent makes the leader not answer.
+	silent   bool
+	avoided  time.Time
+	followed int
+}
+
+func (p *fakePeers) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
 
-func (p *fakePeers) Query(context.Context, uint64) ([]catalog.Item, []string, uint64, error) {
+func (p *fakePeers) state() (feed.State, error) {
 	if p.revision == 0 {
-		return nil, nil, 0, errDown
+		return feed.State{}, errDown
+	}
+	return feed.State{Items: []catalog.Item{{Key: "k", Revision: p.revision}}, Complete: true, Revision: p.revision, Age: p.age}, nil
+}
+
+func (p *fakePeers) Query(context.Context, uint64) (feed.State, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state()
+}
+
+func (p *fakePeers) Leader(now time.Time) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return "leader", p.leader && !now.Before(p.avoided)
+}
+
+func (p *fakePeers) Avoid(_ string, until time.Time) {
+	p.set(func() { p.avoided = until })
+}
+
+func (p *fakePeers) Follow(ctx context.Context, _ string, revision uint64, wait time.Duration) (feed.State, error) {
+	p.set(func() { p.followed++ })
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		silent := p.silent
+		state, err := p.state()
+		p.mu.Unlock()
+		if ctx.Err() != nil {
+			return feed.State{}, ctx.Err()
+		}
+		if !silent && (state.Revision > revision || !time.Now().Before(end)) {
+			return state, err
+		}
 	}
-	return []catalog.Item{{Key: "k", Revision: p.revision}}, []string{"k"}, p.revision, nil
 }
 
 type noMeter struct{}
@@ -181,6 +231,50 @@
 	})
 }
 
+func TestAFollowerLeavesTheStoreToItsLeader(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	peers := &fakePeers{revision: 1, leader: true}
+	run(t, store, peers, func(c *catalog.Catalog) {
+		for revision := uint64(2); revision < 20; revision++ {
+			peers.set(func() { peers.revision = revision })
+			time.Sleep(configBound / 2)
+			wantRevision(t, c, revision)
+		}
+		if store.lists != 1 || store.watches != 0 {
+			t.Fatalf("%d lists, %d watches, want 1 and 0", store.lists, store.watches)
+		}
+	})
+}
+
+// The leader dies, or the store no longer answers it, and at that moment a
+// change is accepted.
+func TestAFollowerWhoseLeaderFailsKeepsTheBound(t *testing.T) {
+	for name, fail := range map[string]func(*fakePeers){
+		"silent": func(p *fakePeers) { p.silent = true },
+		"old":    func(p *fakePeers) { p.age = 2 * time.Second },
+		"gone":   func(p *fakePeers) { p.revision = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+			peers := &fakePeers{revision: 1, leader: true}
+			run(t, store, peers, func(c *catalog.Catalog) {
+				time.Sleep(time.Second)
+				peers.set(func() { fail(peers) })
+				store.put(7)
+				time.Sleep(configBound)
+				wantRevision(t, c, 7)
+				followed := peers.followed
+				store.put(8)
+				time.Sleep(configBound)
+				wantRevision(t, c, 8)
+				if peers.followed != followed {
+					t.Fatal("the failed leader was followed again at once")
+				}
+			})
+		})
+	}
+}
+
 func TestAStoreThatIsBackIsNoticedWithinASecond(t *testing.T) {
 	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}, down: true}
 	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -176,7 +176,7 @@
 	}
 	return &neighbours{
 		view: c.View, seeds: s.Peers, self: s.LinkListen, linkPort: port, service: s.Service,
-		control: control.NewClient(d.control), logger: logger,
+		dataCentre: s.DataCentre, avoided: map[string]time.Time{}, control: control.NewClient(d.control), logger: logger,
 	}, nil
 }
 
@@ -214,14 +214,14 @@
 	return feed.New(feed.Config{}, p.Store, n, c, m, logger)
 }
 
-func newStreams(hop *LastHop, p *poison, c *catalog.Catalog, logger *log.Logger) *streams {
+func newStreams(hop *LastHop, p *poison, c *catalog.Catalog, f *feed.Feed, logger *log.Logger) *streams {
 	version := func() config.Version {
 		if view := c.View(); view.Config != nil {
 			return config.Version{Revision: view.Config.Version}
 		}
 		return config.Version{}
 	}
-	return &streams{requests: exchange.NewServer(hop, version, logger), hop: hop, poison: p, catalog: c, logger: logger}
+	return &streams{requests: exchange.NewServer(hop, version, logger), hop: hop, poison: p, catalog: c, feed: f, logger: logger}
 }
 
 func followCatalog(c *catalog.Catalog, hop *LastHop) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,17 +1,23 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"boragefall/internal/catalog"
 	"boragefall/internal/control"
 	"boragefall/internal/exchange"
+	"boragefall/internal/feed"
 	"boragefall/internal/link"
 	"boragefall/internal/wire"
 )
@@ -19,6 +25,10 @@
 // errNoPeer reports that no other node is known.
 var errNoPeer = eris.New("no other node is known")
 
+// followersEach is the number of nodes of a data centre that one node reads the
+// store for; each asks it about twice a second.
+const followersEach = 32
+
 // noticeTimeout bounds the telling of one peer about a broken run.
 const noticeTimeout = time.Second
 
@@ -30,8 +40,14 @@
 	self     string // own link address
 	linkPort string
 	service  string
-	control  *control.Client
-	logger   *log.Logger
+	// dataCentre is this node's.
+	dataCentre string
+	control    *control.Client
+	logger     *log.Logger
+
+	mu sync.Mutex
+	// avoided holds the nodes that failed as leaders, and until when.
+	avoided map[string]time.Time
 }
 
 // addresses returns the link addresses of the nodes beside the servers that
@@ -49,8 +65,59 @@
 	return out
 }
 
+// Leader returns the node of this data centre whose copy of the store this one
+// follows: all nodes order the same addresses by a hash, and the first few that
+// answer read the store. It returns false when this node is one of them.
+func (n *neighbours) Leader(now time.Time) (string, bool) {
+	candidates := n.addresses(func(l *catalog.Listing) bool { return l.DataCentre == n.dataCentre })
+	candidates = append(candidates, n.self)
+	leaders := 1 + len(candidates)/followersEach
+	n.mu.Lock()
+	candidates = slices.DeleteFunc(candidates, func(address string) bool { return now.Before(n.avoided[address]) })
+	n.mu.Unlock()
+	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	candidates = candidates[:min(leaders, len(candidates))]
+	if slices.Contains(candidates, n.self) {
+		return "", false
+	}
+	return candidates[xxhash.Sum64String(n.self)%uint64(len(candidates))], true
+}
+
+// Avoid keeps a node from being the leader until a time.
+func (n *neighbours) Avoid(address string, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for known, end := range n.avoided {
+		if until.After(end) && time.Now().After(end) {
+			delete(n.avoided, known)
+		}
+	}
+	n.avoided[address] = until
+}
+
+// Follow asks a node for its copy of the store beyond a revision.
+func (n *neighbours) Follow(ctx context.Context, address string, revision uint64, wait time.Duration) (feed.State, error) {
+	query := &wire.StateQuery{Revision: revision, WaitMillis: uint32(wait.Milliseconds())}
+	answer, err := n.control.State(ctx, address, query)
+	if err != nil {
+		return feed.State{}, err
+	}
+	state := feed.State{
+		Items:    make([]catalog.Item, 0, len(answer.GetItems())),
+		Complete: answer.GetComplete(),
+		Revision: answer.GetRevision(),
+		Age:      time.Duration(answer.GetAgeMillis()) * time.Millisecond,
+	}
+	for _, item := range answer.GetItems() {
+		state.Items = append(state.Items, catalog.Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted(),
+		})
+	}
+	return state, nil
+}
+
 // Query asks one node, chosen at random, for its copy of the store.
-func (n *neighbours) Query(ctx context.Context, revision uint64) ([]catalog.Item, []string, uint64, error) {
+func (n *neighbours) Query(ctx context.Context, revision uint64) (feed.State, error) {
 	candidates := n.addresses(func(*catalog.Listing) bool { return true })
 	for _, seed := range n.seeds {
 		if seed != n.self {
@@ -58,18 +125,9 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return nil, nil, 0, errNoPeer
+		return feed.State{}, errNoPeer
 	}
-	address := candidates[rand.IntN(len(candidates))]
-	answer, err := n.control.State(ctx, address, &wire.StateQuery{Revision: revision})
-	if err != nil {
-		return nil, nil, 0, err
-	}
-	items := make([]catalog.Item, 0, len(answer.GetItems()))
-	for _, item := range answer.GetItems() {
-		items = append(items, catalog.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()})
-	}
-	return items, answer.GetKeys(), answer.GetRevision(), nil
+	return n.Follow(ctx, candidates[rand.IntN(len(candidates))], revision, 0)
 }
 
 // tellOfBrokenRun tells the other gates of the service that a server broke off
@@ -93,6 +151,7 @@
 	hop      *LastHop
 	poison   *poison
 	catalog  *catalog.Catalog
+	feed     *feed.Feed
 	logger   *log.Logger
 }
 
@@ -103,7 +162,7 @@
 	case opening.GetRequest() != nil:
 		s.requests.Serve(ctx, opening.GetRequest(), stream)
 	case opening.GetStateQuery() != nil:
-		s.reply(stream, s.state(opening.GetStateQuery().GetRevision()))
+		s.reply(stream, s.state(ctx, opening.GetStateQuery()))
 	case opening.GetBar() != nil:
 		s.reply(stream, &wire.BarAnswer{HandedOver: s.hop.Bar(opening.GetBar().GetId())})
 	case opening.GetCrashNotice() != nil:
@@ -114,11 +173,23 @@
 	}
 }
 
-func (s *streams) state(revision uint64) *wire.StateAnswer {
-	items, keys, at := s.catalog.Since(revision)
-	answer := &wire.StateAnswer{Revision: at, Keys: keys}
+// state answers as soon as more than the query's revision is known, or its wait
+// is over.
+func (s *streams) state(ctx context.Context, query *wire.StateQuery) *wire.StateAnswer {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.GetWaitMillis())*time.Millisecond)
+	defer cancel()
+	s.catalog.Await(ctx, query.GetRevision())
+	answer := &wire.StateAnswer{AgeMillis: uint32(min(s.feed.Age(time.Now()).Milliseconds(), math.MaxUint32))}
+	if known := s.catalog.Revision(); known <= query.GetRevision() {
+		answer.Revision = known
+		return answer
+	}
+	items, complete, at := s.catalog.Since(query.GetRevision())
+	answer.Revision, answer.Complete = at, complete
 	for _, item := range items {
-		answer.Items = append(answer.Items, &wire.StateItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		answer.Items = append(answer.Items, &wire.StateItem{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted,
+		})
 	}
 	return answer
 }
