--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -18,7 +18,7 @@
 const (
 	// crossCostPerKB is what a kilobyte between data centres weighs against
 	// waiting: such bytes are billed, those inside one are not.
-	crossCostPerKB = 5 * time.Millisecond
+	crossCostPerKB = 15 * time.Millisecond
 	// answerKB is the size of an answer that is assumed.
 	answerKB = 1.5
 	// crossDelay is the way between data centres and back.
