--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -43,6 +43,9 @@
 	// coldShare is the part of a cold server's rate that all entries together
 	// plan to use.
 	coldShare = 0.9
+	// lastChoice and secondChoice are weights beyond every time of a request, in
+	// seconds, for servers that are to be used only when no other is left.
+	lastChoice, secondChoice = 1000, 100
 	// forgetAfter is how long an unlisted server's state is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -51,8 +54,8 @@
 type Request struct {
 	// BodyBytes is the size of the request's body.
 	BodyBytes int64
-	// Rank orders requests at a full server; 0 goes first.
-	Rank int
+	// Class groups requests that gates treat alike when they are full.
+	Class string
 	// Tried holds the servers that are not to be chosen again.
 	Tried []mesh.ServerID
 	// ColdRate is the rate in requests a second that a cold server bears.
@@ -78,10 +81,10 @@
 	loadAt      time.Time
 	sentSince   int
 	avoidUntil  time.Time
-	// fullUntil is the time until which the gate refuses requests of fullRank
-	// and of those that go later.
-	fullUntil time.Time
-	fullRank  int
+	// closedUntil is the time until which the gate refuses all requests.
+	closedUntil time.Time
+	// fullUntil holds, by class, the time until which the gate refuses them.
+	fullUntil map[string]time.Time
 	// tokens are the requests that may go to the server while it is cold.
 	tokens  float64
 	fillAt  time.Time
@@ -110,8 +113,8 @@
 		if slices.Contains(r.Tried, l.ID) {
 			continue
 		}
-		if s := b.of(l.ID, now); r.Rank >= s.fullRank && now.Before(s.fullUntil) {
-			if wait := s.fullUntil.Sub(now); full == 0 || wait < full {
+		if wait := b.of(l.ID, now).refusesFor(r.Class, now); wait > 0 {
+			if full == 0 || wait < full {
 				full = wait
 			}
 			continue
@@ -121,7 +124,7 @@
 			best, bestWeight = l, weight
 		}
 	}
-	if best == nil {
+	if best == nil || full > 0 && bestWeight >= lastChoice {
 		return nil, full
 	}
 	s := b.of(best.ID, now)
@@ -131,12 +134,29 @@
 	return best, 0
 }
 
-// Full notes that a gate refuses requests of a rank for a time.
-func (b *Balancer) Full(id mesh.ServerID, rank int, until, now time.Time) {
+// refusesFor returns for how long the gate said that it refuses a class.
+func (s *server) refusesFor(class string, now time.Time) time.Duration {
+	return max(s.closedUntil.Sub(now), s.fullUntil[class].Sub(now))
+}
+
+// Full notes that a gate refuses requests of a class for a time.
+func (b *Balancer) Full(id mesh.ServerID, class string, until, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(id, now)
-	s.fullUntil, s.fullRank = until, rank
+	for known, end := range s.fullUntil {
+		if now.After(end) {
+			delete(s.fullUntil, known)
+		}
+	}
+	s.fullUntil[class] = until
+}
+
+// Close notes that a gate refuses all requests for a time.
+func (b *Balancer) Close(id mesh.ServerID, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(id, now).closedUntil = until
 }
 
 // Finish ends an outstanding request. load is nil when the gate told none.
@@ -164,7 +184,7 @@
 func (b *Balancer) of(id mesh.ServerID, now time.Time) *server {
 	s := b.servers[id]
 	if s == nil {
-		s = &server{tokens: b.random(), fillAt: now}
+		s = &server{tokens: b.random(), fillAt: now, fullUntil: map[string]time.Time{}}
 		b.servers[id] = s
 	}
 	s.usedAt = now
@@ -229,7 +249,6 @@
 
 // reserve is the weight that keeps a server for the time when no other is left.
 func (b *Balancer) reserve(l *catalog.Listing, s *server, r Request, now time.Time) float64 {
-	const lastChoice, secondChoice = 1000, 100 // beyond every time of a request in seconds
 	unusable := s.load.State == host.StateLeaving || s.load.State == host.StateDown
 	if now.Before(s.avoidUntil) || unusable && now.Sub(s.loadAt) < loadFades {
 		return lastChoice
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -30,6 +30,9 @@
 	// avoidUnreachable is how long an entry passes over a server whose node it
 	// could not reach.
 	avoidUnreachable = time.Second
+	// avoidLeaving is how long an entry does not ask a gate that is closed: its
+	// server leaves for good, or its node is back after about as long.
+	avoidLeaving = time.Second
 	// hedgeShare is the part of the time until the objective after which a second
 	// server is asked for an idempotent request that got no answer.
 	hedgeShare = 0.6
@@ -199,7 +202,7 @@
 	view := t.d.view()
 	listed := view.Usable[t.request.Service]
 	listing, full := t.d.balancer.Choose(listed, balance.Request{
-		BodyBytes: t.request.ContentLength, Tried: t.tried, Rank: t.request.Rank,
+		BodyBytes: t.request.ContentLength, Tried: t.tried, Class: t.request.Route,
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Entries: len(view.Servers),
 	}, now)
 	if listing == nil && full > 0 {
@@ -257,7 +260,9 @@
 	case verdict.ReasonUnreachable, verdict.ReasonLacksResource:
 		d.balancer.Avoid(listing.ID, now.Add(avoidUnreachable), now)
 	case verdict.ReasonOverloaded, verdict.ReasonCold:
-		d.balancer.Full(listing.ID, r.Rank, now.Add(failure.RetryAfter), now)
+		d.balancer.Full(listing.ID, r.Route, now.Add(failure.RetryAfter), now)
+	case verdict.ReasonLeaving:
+		d.balancer.Close(listing.ID, now.Add(avoidLeaving), now)
 	}
 	if failure.Reason == verdict.ReasonConnectionLost && load == nil && listing.Address != d.hop.address {
 		d.balancer.Avoid(listing.ID, now.Add(avoidUnreachable), now)
