--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -18,7 +18,7 @@
 	window = time.Second
 	// coldShare is the part of the cold rate that is used. A server crashes only
 	// well above its rate, and the platform's own bound is half as high again.
-	coldShare = 1.2
+	coldShare = 1.4
 	// queuePerSlot bounds the waiting requests: work for four turns of all slots
 	// is late whatever the objective is.
 	queuePerSlot = 4
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -35,6 +35,9 @@
 	crowding = 0.4
 	// failingCost is what a server that fails every request weighs.
 	failingCost = 2 * time.Second
+	// silenceFactor is how many times its pace a server may be silent with a
+	// request outstanding; what goes beyond that weighs as it is.
+	silenceFactor = 3
 	// suspectCost is what a server weighs whose record went with the store.
 	suspectCost = 100 * time.Millisecond
 	// spread is the share by which weights are varied, so that entries that know
@@ -77,6 +80,9 @@
 // server is what this node knows of a server itself.
 type server struct {
 	outstanding int
+	// silentSince is when the server was last heard of, or when the oldest
+	// request since then went to it.
+	silentSince time.Time
 	load        contract.Load
 	loadAt      time.Time
 	sentSince   int
@@ -128,6 +134,9 @@
 		return nil, full
 	}
 	s := b.of(best.ID, now)
+	if s.outstanding == 0 {
+		s.silentSince = now
+	}
 	s.outstanding++
 	s.sentSince++
 	s.tokens = max(s.tokens-1, 0)
@@ -168,7 +177,7 @@
 	if load == nil {
 		return
 	}
-	s.load, s.loadAt, s.sentSince = *load, now, 0
+	s.load, s.loadAt, s.sentSince, s.silentSince = *load, now, 0, now
 	if load.Service > 0 {
 		s.service = load.Service
 	}
@@ -236,6 +245,10 @@
 		weight += service.Seconds() * over / float64(slots)
 	}
 	weight += failingCost.Seconds() * s.load.Failing * fade(age, serviceFades)
+	if s.outstanding > 0 {
+		// A host that lost power, or stands still, says nothing.
+		weight += max(now.Sub(s.silentSince).Seconds()-silenceFactor*service.Seconds(), 0)
+	}
 	if l.DataCentre != b.dataCentre {
 		kilobytes := float64(r.BodyBytes)/1024 + answerKB
 		weight += crossDelay.Seconds() + crossCostPerKB.Seconds()*kilobytes
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -160,3 +160,29 @@
 	l, _ = b.Choose(servers, Request{Tried: []mesh.ServerID{"a1"}}, start)
 	g.Expect(l.ID).To(BeEquivalentTo("a0"))
 }
+
+// A host that loses power answers nothing, and its links take a second to break.
+// What an entry sends there until then is lost.
+func TestASilentServerGetsLittleMore(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer()
+	servers := listed("north", "north", "north")
+	loads := map[mesh.ServerID]*contract.Load{"a0": warmLoad(2), "a1": warmLoad(2), "a2": warmLoad(2)}
+	counts(b, servers, Request{}, loads, 30, 10*time.Millisecond)
+	now := start.Add(300 * time.Millisecond)
+	lost, lostLate := 0, 0
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		l, _ := b.Choose(servers, Request{}, now)
+		switch {
+		case l.ID != "a0":
+			b.Finish(l.ID, loads[l.ID], now)
+		case i < 60:
+			lost++
+		default:
+			lostLate++
+		}
+	}
+	g.Expect(lost).To(BeNumerically("<=", 20), "the usual third of 600 ms")
+	g.Expect(lostLate).To(BeZero())
+}
--- a/test/mesh/failures_test.go
+++ b/test/mesh/failures_test.go
@@ -22,7 +22,7 @@
 var _ = Describe("a mesh of node processes", func() {
 	var f *fleet
 
-	BeforeEach(func() { f = startFleet(nil) })
+	BeforeEach(func() { f = startFleet(GinkgoT().TempDir(), nil) })
 
 	It("serves every kind of request on a calm day", func() {
 		calls := f.during(perSecond, func() { time.Sleep(3 * time.Second) })
--- a/test/mesh/fleet_test.go
+++ b/test/mesh/fleet_test.go
@@ -81,12 +81,13 @@
 	client   *http.Client
 }
 
-// startFleet starts servers and nodes and waits until all nodes are ready.
+// startFleet starts servers and nodes and waits until all nodes are ready. dir
+// takes their settings and logs.
 // linkIP returns where a node listens for links; other nodes connect to the
 // server's address, where a proxy may stand between.
-func startFleet(linkIP func(i int) string) *fleet {
+func startFleet(dir string, linkIP func(i int) string) *fleet {
 	f := &fleet{
-		dir: GinkgoT().TempDir(), store: standin.NewMetaStore(), record: &standin.MeshRecord{},
+		dir: dir, store: standin.NewMetaStore(), record: &standin.MeshRecord{},
 		client: &http.Client{Timeout: callLimit + time.Second, Transport: &http.Transport{DisableKeepAlives: false, MaxIdleConnsPerHost: 8}},
 	}
 	f.ports = freePorts()
