--- a/bench/baseline/poller.go
+++ b/bench/baseline/poller.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 )
 
 // pollBudget is far above what a poller reads, so that its own client does not
@@ -26,7 +26,7 @@
 // Poller reads the whole configuration and the host list at an even interval.
 type Poller struct {
 	cfg      PollerConfig
-	client   *platform.Client
+	client   *configservice.Client
 	snapshot atomic.Pointer[config.Snapshot]
 	hosts    atomic.Pointer[host.List]
 	failed   atomic.Int64
@@ -36,7 +36,7 @@
 func NewPoller(cfg PollerConfig) *Poller {
 	return &Poller{
 		cfg:    cfg,
-		client: platform.NewClient(platform.Config{BaseURL: cfg.URL, ReadsPerSecond: pollBudget, ReadBurst: pollBudget}, nil),
+		client: configservice.NewClient(configservice.Config{BaseURL: cfg.URL, ReadsPerSecond: pollBudget, ReadBurst: pollBudget}, nil),
 	}
 }
 
--- a/bench/baseline/router.go
+++ b/bench/baseline/router.go
@@ -13,8 +13,8 @@
 	"github.com/rotisserie/eris"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 )
 
 // ErrNoServer reports that no server of a service is known.
@@ -128,7 +128,7 @@
 	return service
 }
 
-func (p *Poller) storeHosts(folder *platform.Folder) error {
+func (p *Poller) storeHosts(folder *configservice.Folder) error {
 	list := &host.List{}
 	if err := json.Unmarshal(folder.Files[0].Data, list); err != nil {
 		return eris.Wrap(err, "host list")
--- a/internal/platform/client.go
+++ b/internal/configservice/client.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's configuration service and host list.
+// Package configservice reads the platform's configuration service and host list.
 // It only reads and watches. Every call, a watch too, is taken from one read
 // budget per node.
-package platform
+package configservice
 
 import (
 	"context"
--- a/internal/platform/values.go
+++ b/internal/configservice/values.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -12,6 +12,7 @@
 	"boragefall/internal/backend"
 	"boragefall/internal/caller"
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/contract"
 	"boragefall/internal/control"
 	"boragefall/internal/dispatch"
@@ -23,7 +24,6 @@
 	"boragefall/internal/ledger"
 	"boragefall/internal/link"
 	"boragefall/internal/membership"
-	"boragefall/internal/platform"
 	"boragefall/internal/retry"
 	"boragefall/internal/routing"
 	"boragefall/internal/settings"
@@ -112,8 +112,8 @@
 	return requestDialer{link.NewDialer(link.Config{}, link.ClassRequest, id, c)}
 }
 
-func newPlatform(s settings.Settings) *platform.Client {
-	return platform.NewClient(platform.Config{BaseURL: s.Platform}, nil)
+func newPlatform(s settings.Settings) *configservice.Client {
+	return configservice.NewClient(configservice.Config{BaseURL: s.Platform}, nil)
 }
 
 func newBackend(s settings.Settings) *backend.Client {
@@ -150,7 +150,7 @@
 	return &applier{state: s, registry: r, gate: g, backend: b, owner: o, admitter: admitter}
 }
 
-func newRunner(s settings.Settings, self host.Listing, client *control.Client, source *platform.Client, a *applier, r *membership.Registry, logger *log.Logger) *spread.Runner {
+func newRunner(s settings.Settings, self host.Listing, client *control.Client, source *configservice.Client, a *applier, r *membership.Registry, logger *log.Logger) *spread.Runner {
 	cfg := spread.Config{BootPeers: s.Peers, ControlRate: s.ControlBytesPerSecond, Records: r}
 	return spread.NewRunner(cfg, self, client, source, a, logger)
 }
--- a/internal/spread/hostlist.go
+++ b/internal/spread/hostlist.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 )
 
 // hostListPieces is the number of files that a host list is cut into, so that
@@ -32,8 +32,8 @@
 // CutHostList turns the platform's host list into the pieces that spread. The
 // pieces depend on the entries alone, not on how the platform wrote them.
 func CutHostList(revision uint64, files []config.File) ([]config.File, error) {
-	if len(files) != 1 || files[0].Name != platform.HostListFile {
-		return nil, eris.Wrapf(ErrBadHostList, "want one file %s", platform.HostListFile)
+	if len(files) != 1 || files[0].Name != configservice.HostListFile {
+		return nil, eris.Wrapf(ErrBadHostList, "want one file %s", configservice.HostListFile)
 	}
 	list := &host.List{}
 	if err := decodeStrictly(files[0].Data, list); err != nil {
--- a/internal/spread/property_test.go
+++ b/internal/spread/property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"boragefall/internal/config"
-	"boragefall/internal/platform"
+	"boragefall/internal/configservice"
 )
 
 func TestMain(m *testing.M) {
@@ -30,7 +30,7 @@
 	*world
 	t       *rapid.T
 	epoch   uint64
-	history [][len(kinds)]platform.Folder
+	history [][len(kinds)]configservice.Folder
 }
 
 func (s *schedule) step() {
--- a/internal/spread/runner.go
+++ b/internal/spread/runner.go
@@ -9,8 +9,8 @@
 	"github.com/phuslu/log"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 	"boragefall/internal/wire"
 )
 
@@ -23,10 +23,10 @@
 // Source reads the platform. A watch that ends without a change returns
 // nil, nil.
 type Source interface {
-	ReadConfig(ctx context.Context, held []config.File) (*platform.Folder, error)
-	WatchConfig(ctx context.Context, after uint64, wait time.Duration, held []config.File) (*platform.Folder, error)
-	ReadHosts(ctx context.Context) (*platform.Folder, error)
-	WatchHosts(ctx context.Context, after uint64, wait time.Duration) (*platform.Folder, error)
+	ReadConfig(ctx context.Context, held []config.File) (*configservice.Folder, error)
+	WatchConfig(ctx context.Context, after uint64, wait time.Duration, held []config.File) (*configservice.Folder, error)
+	ReadHosts(ctx context.Context) (*configservice.Folder, error)
+	WatchHosts(ctx context.Context, after uint64, wait time.Duration) (*configservice.Folder, error)
 }
 
 // Applier takes accepted versions, one after the other and in order.
@@ -208,7 +208,7 @@
 	})
 }
 
-func (r *Runner) readFolder(ctx context.Context, e ReadSource) (*platform.Folder, error) {
+func (r *Runner) readFolder(ctx context.Context, e ReadSource) (*configservice.Folder, error) {
 	watch := e.Wait > 0
 	switch {
 	case e.Kind == KindConfig && watch:
--- a/internal/spread/runner_test.go
+++ b/internal/spread/runner_test.go
@@ -13,8 +13,8 @@
 	"github.com/phuslu/log"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 	"boragefall/internal/wire"
 )
 
@@ -48,26 +48,26 @@
 type memorySource struct {
 	mu      sync.Mutex
 	out     bool
-	folders [len(kinds)]platform.Folder
+	folders [len(kinds)]configservice.Folder
 }
 
 func (s *memorySource) set(i int, revision uint64, name, data string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.folders[i] = platform.Folder{Revision: revision, Files: []config.File{{Name: name, Data: []byte(data)}}}
+	s.folders[i] = configservice.Folder{Revision: revision, Files: []config.File{{Name: name, Data: []byte(data)}}}
 }
 
-func (s *memorySource) read(i int) (*platform.Folder, error) {
+func (s *memorySource) read(i int) (*configservice.Folder, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.out {
-		return nil, platform.ErrOutage
+		return nil, configservice.ErrOutage
 	}
 	f := s.folders[i]
 	return &f, nil
 }
 
-func (s *memorySource) watch(i int, after uint64, wait time.Duration) (*platform.Folder, error) {
+func (s *memorySource) watch(i int, after uint64, wait time.Duration) (*configservice.Folder, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if f, err := s.read(i); err != nil || f.Revision != after {
 			return f, err
@@ -76,17 +76,17 @@
 	return nil, nil
 }
 
-func (s *memorySource) ReadConfig(context.Context, []config.File) (*platform.Folder, error) {
+func (s *memorySource) ReadConfig(context.Context, []config.File) (*configservice.Folder, error) {
 	return s.read(0)
 }
 
-func (s *memorySource) WatchConfig(_ context.Context, after uint64, wait time.Duration, _ []config.File) (*platform.Folder, error) {
+func (s *memorySource) WatchConfig(_ context.Context, after uint64, wait time.Duration, _ []config.File) (*configservice.Folder, error) {
 	return s.watch(0, after, wait)
 }
 
-func (s *memorySource) ReadHosts(context.Context) (*platform.Folder, error) { return s.read(1) }
+func (s *memorySource) ReadHosts(context.Context) (*configservice.Folder, error) { return s.read(1) }
 
-func (s *memorySource) WatchHosts(_ context.Context, after uint64, wait time.Duration) (*platform.Folder, error) {
+func (s *memorySource) WatchHosts(_ context.Context, after uint64, wait time.Duration) (*configservice.Folder, error) {
 	return s.watch(1, after, wait)
 }
 
--- a/internal/spread/source.go
+++ b/internal/spread/source.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"boragefall/internal/config"
-	"boragefall/internal/platform"
+	"boragefall/internal/configservice"
 	"boragefall/internal/wire"
 )
 
@@ -50,7 +50,7 @@
 	known   bool      // seen is set
 	stale   bool      // what the source gave last is older than the floor
 	reread  time.Time // when the next read compares contents, not revisions
-	backoff platform.Backoff
+	backoff configservice.Backoff
 }
 
 // source is the state of this node's reads of the source.
@@ -72,7 +72,7 @@
 func newSource(cfg Config, now time.Time) source {
 	s := source{started: now, stepWait: cfg.StepUpRank}
 	for i := range s.reads {
-		s.reads[i].backoff = platform.Backoff{Base: backoffBase, Cap: backoffCap}
+		s.reads[i].backoff = configservice.Backoff{Base: backoffBase, Cap: backoffCap}
 	}
 	return s
 }
@@ -215,7 +215,7 @@
 	r.next = now.Add(r.backoff.Next(m.random))
 	m.source.cycle = false
 	m.counters.SourceFailures++
-	if errors.Is(cause, platform.ErrOverLimit) {
+	if errors.Is(cause, configservice.ErrOverLimit) {
 		m.counters.SourceOverLimit++
 	}
 	return m.drain()
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -11,9 +11,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"boragefall/internal/config"
+	"boragefall/internal/configservice"
 	"boragefall/internal/datacentre"
 	"boragefall/internal/host"
-	"boragefall/internal/platform"
 	"boragefall/internal/wire"
 )
 
@@ -53,13 +53,13 @@
 // or restored.
 type fakeSource struct {
 	out      bool
-	stale    *[len(kinds)]platform.Folder // served instead of folders
-	folders  [len(kinds)]platform.Folder
+	stale    *[len(kinds)]configservice.Folder // served instead of folders
+	folders  [len(kinds)]configservice.Folder
 	accepted map[string]bool // kind, version and hash of each good folder
 	newest   [len(kinds)]config.Version
 }
 
-func (s *fakeSource) publish(i int, f platform.Folder) {
+func (s *fakeSource) publish(i int, f configservice.Folder) {
 	s.folders[i] = f
 	v, ok := s.version(i)
 	if !ok {
@@ -83,7 +83,7 @@
 }
 
 // spreadFiles returns the files that spread for a folder of the source.
-func spreadFiles(i int, f platform.Folder) []config.File {
+func spreadFiles(i int, f configservice.Folder) []config.File {
 	if i == 0 {
 		return f.Files
 	}
@@ -99,7 +99,7 @@
 	return fmt.Sprint(i, v, config.ManifestOf(files).Hash())
 }
 
-func (s *fakeSource) folder(i int) platform.Folder {
+func (s *fakeSource) folder(i int) configservice.Folder {
 	if s.stale != nil {
 		return s.stale[i]
 	}
@@ -207,7 +207,7 @@
 	w.published++
 	d.Text = fmt.Sprint("text ", w.published)
 	data, _ := json.Marshal(d)
-	w.source.publish(0, platform.Folder{Revision: revision, Files: []config.File{
+	w.source.publish(0, configservice.Folder{Revision: revision, Files: []config.File{
 		{Name: "10-a.json", Data: []byte(`{"text":"base"}`)}, {Name: "20-b.json", Data: data},
 	}})
 }
@@ -219,7 +219,7 @@
 	}
 	list.Sort()
 	data, _ := json.Marshal(list)
-	w.source.publish(1, platform.Folder{Revision: revision, Files: []config.File{{Name: platform.HostListFile, Data: data}}})
+	w.source.publish(1, configservice.Folder{Revision: revision, Files: []config.File{{Name: configservice.HostListFile, Data: data}}})
 }
 
 func (w *world) after(d time.Duration, do func()) {
@@ -372,7 +372,7 @@
 		folder := w.source.folder(i)
 		switch {
 		case w.source.out || n.cutOff:
-			w.input(n, p, func() []Effect { return p.m.SourceFailed(w.now, e.Kind, platform.ErrOutage) })
+			w.input(n, p, func() []Effect { return p.m.SourceFailed(w.now, e.Kind, configservice.ErrOutage) })
 		case e.Wait == 0 || folder.Revision != e.After:
 			w.input(n, p, func() []Effect { return p.m.SourceRead(w.now, e.Kind, folder.Revision, folder.Files) })
 		case !w.now.Before(deadline):
