--- a/test/mesh/fleet_test.go
+++ b/test/mesh/fleet_test.go
@@ -68,6 +68,8 @@
 
 	mu   sync.Mutex
 	node *exec.Cmd
+	// logFrom is the size of the log at the process's start.
+	logFrom int64
 }
 
 // fleet is a deployment of two services.
@@ -197,15 +199,28 @@
 func (m *machine) start() {
 	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
+	info, err := out.Stat()
+	Expect(err).NotTo(HaveOccurred())
+	size := info.Size()
 	node := exec.Command(binary, "node", "--settings", m.settingsFile())
 	node.Stdout, node.Stderr = out, out
 	Expect(node.Start()).To(Succeed())
 	_ = out.Close() // the process has its own descriptor
 	m.mu.Lock()
 	m.node = node
+	m.logFrom = size
 	m.mu.Unlock()
 }
 
+// served reports whether the last process came as far as to take requests.
+func (m *machine) served() bool {
+	data, err := os.ReadFile(m.log)
+	Expect(err).NotTo(HaveOccurred())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return bytes.Contains(data[m.logFrom:], []byte("node started"))
+}
+
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/test/mesh/proxy_test.go
+++ b/test/mesh/proxy_test.go
@@ -113,4 +113,3 @@
 		}
 	}
 }
-
