Take bodies in before a slot is; weigh the links that they go over

Ruled out: processors (--no-cpu gave the same).

A gate foresees whether a body would arrive in time, takes it in, and then waits for a slot. Its load tells how long bodies take; the weight of a crossing is bounded by 0.4 of the objective.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -29,6 +29,14 @@
 	once   sync.Once
 }
 
+// Foresee refuses a request that would be refused if it came after a time. It
+// takes nothing in.
+func (g *Gate) Foresee(r Request, after time.Duration) *verdict.Error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Foresee(r, after, time.Now())
+}
+
 // Admit waits until the request may start. Its error is a *verdict.Error that
 // says NotRun.
 func (g *Gate) Admit(ctx context.Context, r Request) (*Permit, error) {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -113,6 +113,24 @@
 	return t, nil
 }
 
+// Foresee refuses a request that would be refused if it came after a time. It
+// takes nothing in.
+func (m *Machine) Foresee(r Request, after time.Duration, now time.Time) *verdict.Error {
+	// Proof of NotRun: no ticket was given.
+	switch {
+	case m.closed:
+		return verdict.Refuse(verdict.ReasonLeaving, minRetryAfter)
+	case m.down:
+		return verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
+	}
+	t := &Ticket{request: r, since: now}
+	wait := max(m.expectedWait(t, now), after)
+	if wait > 0 && !m.acceptable(r, now.Add(wait+m.typical(r.Class)), now) {
+		return verdict.Refuse(m.busyReason(now), m.retryAfter(wait))
+	}
+	return nil
+}
+
 // acceptable reports whether a request that has to wait is worth taking in when
 // it is expected to finish at a time. One that misses its objective goes behind
 // all others, so few of them are taken in, and only with time to spare.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,6 +19,9 @@
 	// crossCostPerKB is what a kilobyte between data centres weighs against
 	// waiting: such bytes are billed, those inside one are not.
 	crossCostPerKB = 15 * time.Millisecond
+	// maxCrossShare bounds that weight to a part of the objective, so that a
+	// request that the own data centre would serve late goes to another.
+	maxCrossShare = 0.4
 	// answerKB is the size of an answer that is assumed.
 	answerKB = 1.5
 	// crossDelay is the way between data centres and back.
@@ -57,6 +60,10 @@
 type Request struct {
 	// BodyBytes is the size of the request's body.
 	BodyBytes int64
+	// Objective is the time left in which an answer is most useful.
+	Objective time.Duration
+	// Local is the address of the server on this host; no body has to go there.
+	Local string
 	// Class groups requests that gates treat alike when they are full.
 	Class string
 	// Tried holds the servers that are not to be chosen again.
@@ -251,7 +258,14 @@
 	}
 	if l.DataCentre != b.dataCentre {
 		kilobytes := float64(r.BodyBytes)/1024 + answerKB
-		weight += crossDelay.Seconds() + crossCostPerKB.Seconds()*kilobytes
+		cost := crossCostPerKB.Seconds() * kilobytes
+		if r.Objective > 0 {
+			cost = min(cost, maxCrossShare*r.Objective.Seconds())
+		}
+		weight += crossDelay.Seconds() + cost
+	}
+	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.Local {
+		weight += s.load.BodyWait.Seconds()*fade(age, loadFades) + float64(r.BodyBytes)/float64(s.load.BodyRate)
 	}
 	if l.Suspect {
 		weight += suspectCost.Seconds()
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -32,6 +32,10 @@
 	State                  host.State
 	// Service is the mean time that the server takes for a request; 0 is unknown.
 	Service time.Duration
+	// BodyWait is the time until the bodies that are under way to the gate have
+	// arrived, and BodyRate the bytes a second at which they do; 0 is unknown.
+	BodyWait time.Duration
+	BodyRate int64
 	// Failing is the share of requests that the server failed lately, 0 to 1.
 	Failing float64
 }
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -74,6 +74,8 @@
 	Fingerprint uint64
 	// ContentLength is the body's length in bytes, or -1.
 	ContentLength int64
+	// BodyHeld reports that the body is in this host's memory.
+	BodyHeld bool
 	// Body is never nil.
 	Body io.Reader
 	// Trailer is filled once Body has returned io.EOF.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -154,23 +154,27 @@
 
 func decodeLoad(l *wire.Load) contract.Load {
 	return contract.Load{
-		Running: int(l.GetRunning()),
-		Queued:  int(l.GetQueued()),
-		Limit:   int(l.GetLimit()),
-		State:   host.State(l.GetState()),
-		Service: time.Duration(l.GetServiceMicros()) * time.Microsecond,
-		Failing: float64(l.GetFailingPermille()) / permille,
+		Running:  int(l.GetRunning()),
+		Queued:   int(l.GetQueued()),
+		Limit:    int(l.GetLimit()),
+		State:    host.State(l.GetState()),
+		Service:  time.Duration(l.GetServiceMicros()) * time.Microsecond,
+		Failing:  float64(l.GetFailingPermille()) / permille,
+		BodyWait: time.Duration(l.GetBodyWaitMicros()) * time.Microsecond,
+		BodyRate: int64(l.GetBodyKilobytesPerSecond()) << 10,
 	}
 }
 
 func encodeLoad(l contract.Load) *wire.Load {
 	return &wire.Load{
-		Running:         uint32(max(l.Running, 0)),
-		Queued:          uint32(max(l.Queued, 0)),
-		Limit:           uint32(max(l.Limit, 0)),
-		State:           uint32(l.State),
-		ServiceMicros:   uint32(min(max(l.Service.Microseconds(), 0), math.MaxUint32)),
-		FailingPermille: uint32(l.Failing * permille),
+		Running:                uint32(max(l.Running, 0)),
+		Queued:                 uint32(max(l.Queued, 0)),
+		Limit:                  uint32(max(l.Limit, 0)),
+		State:                  uint32(l.State),
+		ServiceMicros:          uint32(min(max(l.Service.Microseconds(), 0), math.MaxUint32)),
+		FailingPermille:        uint32(l.Failing * permille),
+		BodyWaitMicros:         uint32(min(max(l.BodyWait.Microseconds(), 0), math.MaxUint32)),
+		BodyKilobytesPerSecond: uint32(min(max(l.BodyRate>>10, 0), math.MaxUint32)),
 	}
 }
 
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -55,7 +55,7 @@
 		// It came with the head. Once it is read, the end of the stream means
 		// that the caller left, also while the request waits for a slot.
 		whole, err := io.ReadAll(body)
-		r.Body = bytes.NewReader(whole)
+		r.Body, r.BodyHeld = bytes.NewReader(whole), true
 		if err != nil {
 			r.Body = io.MultiReader(r.Body, brokenBody{err})
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,8 @@
 	RetrySlack int
 	// MemoryMB is the memory that the process may use, in MiB. Default 128.
 	MemoryMB int
+	// LinkMbps is the rate of the host's link in Mbit/s. Default 1000.
+	LinkMbps float64
 	// ControlBytesPerSecond bounds control traffic sent. Default 7,000.
 	ControlBytesPerSecond int
 }
@@ -85,6 +87,7 @@
 	defaultRetryRatio   = 0.2
 	defaultRetrySlack   = 50
 	defaultMemoryMB     = 128
+	defaultLinkMbps     = 1000
 )
 
 // Read parses args, the environment and the settings file that args name.
@@ -135,6 +138,7 @@
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", defaultRetryRatio, "repeated sends permitted for each request, 0 to 1")
 	flags.IntVar(&s.RetrySlack, "retry-slack", defaultRetrySlack, "repeated `sends` permitted to all nodes beside that in ten seconds")
 	flags.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory in `MiB` that the process may use")
+	flags.Float64Var(&s.LinkMbps, "link-mbps", defaultLinkMbps, "rate of the host's link in `Mbit/s`")
 	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
 	return flags
 }
@@ -156,6 +160,7 @@
 		s.checkSource(),
 		checkRange("retry-ratio", s.RetryRatio, 0, 1),
 		checkRange("retry-slack", float64(s.RetrySlack), 0, 1e6),
+		checkRange("link-mbps", s.LinkMbps, 0.1, 1e6),
 		checkRange("memory-mb", float64(s.MemoryMB), 16, 1e6),
 		checkOneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
 		checkOneOf("trace-exporter", s.TraceExporter, "off", "stdout", "otlp"),
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -93,6 +93,8 @@
 	// Open returns the body for the next attempt. It reports false when the
 	// body was streamed and is gone.
 	Open() (io.Reader, bool)
+	// Held reports that the whole body is in memory.
+	Held() bool
 }
 
 // Dispatcher sends requests to backend servers.
@@ -202,7 +204,7 @@
 	view := t.d.view()
 	listed := view.Usable[t.request.Service]
 	listing, full := t.d.balancer.Choose(listed, balance.Request{
-		BodyBytes: t.request.ContentLength, Tried: t.tried, Class: t.request.Route,
+		BodyBytes: t.request.ContentLength, Objective: t.request.Objective.Sub(now), Local: t.d.hop.address, Tried: t.tried, Class: t.request.Route,
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Entries: len(view.Servers),
 	}, now)
 	if listing == nil && full > 0 {
@@ -237,6 +239,7 @@
 	var answer *contract.Answer
 	var err error
 	if listing.Address == d.hop.address {
+		r.BodyHeld = t.body.Held()
 		answer, err = d.hop.Run(ctx, r)
 		if err != nil {
 			answer = &contract.Answer{Load: d.hop.Load()}
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -119,6 +119,7 @@
 	hop, err := NewLastHop(LastHopConfig{
 		Address: "10.0.0.1:8000", Service: "other", View: func() *catalog.View { return view },
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Poison: poison, Logger: telemetry.Silent(),
+		Bodies: newBodyIntake(0, 0),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -135,6 +136,7 @@
 type noBody struct{}
 
 func (noBody) Open() (io.Reader, bool) { return http.NoBody, true }
+func (noBody) Held() bool              { return true }
 
 func (w *world) do(ctx context.Context, idempotent bool) (*contract.Answer, *verdict.Error) {
 	now := time.Now()
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -236,6 +236,11 @@
 	opened bool
 }
 
+// Held reports that the whole body is in memory.
+func (b *attemptBody) Held() bool {
+	return b.body.Replayable()
+}
+
 // Open returns the body for the next attempt; false when it was streamed.
 func (b *attemptBody) Open() (io.Reader, bool) {
 	if b.opened && !b.body.Replayable() {
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -41,6 +41,7 @@
 	client  *serverconn.Client
 	prober  *prober
 	poison  *poison
+	bodies  *bodyIntake
 	logger  *log.Logger
 
 	mu sync.Mutex
@@ -66,6 +67,7 @@
 	View    func() *catalog.View
 	Client  *serverconn.Client
 	Poison  *poison
+	Bodies  *bodyIntake
 	Logger  *log.Logger
 }
 
@@ -78,7 +80,7 @@
 	}
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
-		poison: cfg.Poison, logger: cfg.Logger, seen: seen,
+		poison: cfg.Poison, bodies: cfg.Bodies, logger: cfg.Logger, seen: seen,
 		gate: admission.NewGate(1, 0),
 	}
 	h.prober = &prober{hop: h}
@@ -87,7 +89,9 @@
 
 // Load returns how busy the server is.
 func (h *LastHop) Load() contract.Load {
-	return h.gate.Load()
+	load := h.gate.Load()
+	load.BodyWait, load.BodyRate = h.bodies.wait(), h.bodies.rate
+	return load
 }
 
 // Run runs a request or refuses it. Its errors are *verdict.Error.
@@ -96,9 +100,22 @@
 		h.logRefusal(r, refusal)
 		return nil, refusal
 	}
-	permit, err := h.gate.Admit(ctx, admission.Request{
+	asked := admission.Request{
 		Class: r.Route, Priority: r.Rank, Deadline: r.Deadline, Objective: r.Objective, Settle: r.Settle,
-	})
+	}
+	if !r.BodyHeld && r.ContentLength > 0 {
+		arrives := h.bodies.wait() + h.bodies.timeOf(r.ContentLength)
+		if refusal := h.gate.Foresee(asked, arrives); refusal != nil {
+			h.logRefusal(r, refusal)
+			return nil, refusal
+		}
+	}
+	release, err := h.bodies.take(r)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	permit, err := h.gate.Admit(ctx, asked)
 	if err != nil {
 		h.logRefusal(r, verdict.Of(err))
 		return nil, err
