--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -186,3 +186,21 @@
 	g.Expect(lost).To(BeNumerically("<=", 20), "the usual third of 600 ms")
 	g.Expect(lostLate).To(BeZero())
 }
+
+// Uploads of 280 KB over links of 27 Mbit/s: the one server of a data centre can't
+// take them all in, and the price of crossing must not keep them there.
+func TestUploadsLeaveANarrowLinkThatIsBusy(t *testing.T) {
+	g := NewWithT(t)
+	const rate = 27e6 / 8
+	servers := listed("north", "south", "west")
+	busy, free := warmLoad(2), warmLoad(2)
+	busy.BodyRate, free.BodyRate = rate, rate
+	busy.BodyWait = 400 * time.Millisecond
+	loads := map[mesh.ServerID]*contract.Load{"a0": busy, "a1": free, "a2": free}
+	r := Request{BodyBytes: 280_000, Objective: 800 * time.Millisecond, Local: "another host"}
+	got := counts(newBalancer(), servers, r, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a0"]).To(BeNumerically("<", 60), "%v", got)
+	loads["a0"] = free
+	got = counts(newBalancer(), servers, r, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
+}
--- /dev/null
+++ b/internal/sidecar/lasthop_test.go
@@ -0,0 +1,149 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/catalog"
+	"boragefall/internal/contract"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/verdict"
+	"boragefall/platform"
+)
+
+// slowBody arrives when a test lets it.
+type slowBody struct {
+	arrives chan struct{}
+	left    int
+	err     error
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	<-b.arrives
+	if b.err != nil {
+		return 0, b.err
+	}
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(b.left, len(p))
+	b.left -= n
+	return n, nil
+}
+
+// hopOf returns a last hop whose server is the first of a view, and was heard of.
+func hopOf(t *testing.T, view *catalog.View) *LastHop {
+	poison, err := newPoison(func(uint64) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hop, err := NewLastHop(LastHopConfig{
+		Address: "10.0.0.2:8000", Service: "orders", View: func() *catalog.View { return view }, Poison: poison,
+		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: "127.0.0.1:1"}), platform.Headers{}),
+		Bodies: newBodyIntake(27, 128), Logger: telemetry.Silent(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hop.gate.Proved(0)
+	return hop
+}
+
+func requestTo(server string, body io.Reader, length int64) *contract.Request {
+	now := time.Now()
+	return &contract.Request{
+		ID: "9c41", Service: "orders", Route: "upload", Server: server, Body: body, ContentLength: length,
+		Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute),
+	}
+}
+
+// Bodies of 280 KB over a link of 27 Mbit/s held each of the server's slots four
+// times as long as the work.
+func TestABodyThatIsStillToArriveHoldsNoSlot(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	body := &slowBody{arrives: make(chan struct{}), left: 300_000}
+	done := make(chan error)
+	go func() {
+		_, err := hop.Run(context.Background(), requestTo("10.0.0.2", body, 300_000))
+		done <- err
+	}()
+	g.Eventually(func() time.Duration { return hop.Load().BodyWait }).Should(BeNumerically(">", 50*time.Millisecond))
+	g.Expect(hop.Load().Running).To(BeZero())
+	close(body.arrives)
+	g.Expect(verdict.Of(<-done).Reason).To(Equal(verdict.ReasonUnreachable)) // no server listens in this test
+	g.Expect(hop.Load().BodyWait).To(BeZero())
+	g.Expect(hop.bodies.held.Load()).To(BeZero())
+}
+
+func TestABodyThatBreaksOffWasNotHandedOver(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	body := &slowBody{arrives: make(chan struct{}), err: errors.New("the entry left")}
+	close(body.arrives)
+	_, err := hop.Run(context.Background(), requestTo("10.0.0.2", body, 300_000))
+	g.Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	g.Expect(hop.Bar("9c41")).To(BeFalse())
+	g.Expect(hop.bodies.held.Load()).To(BeZero())
+	g.Expect(hop.Load().BodyWait).To(BeZero())
+}
+
+func TestAServerThatIsGoneGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	r := requestTo("unknown", nil, 0)
+	r.HostListRevision = 1 // older than the view that lacks the server
+	_, err := hop.Run(context.Background(), r)
+	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonLeaving))
+}
+
+func TestAServerThatOnlyTheEntryHasHeardOfIsTried(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	r := requestTo("newer", nil, 0)
+	r.HostListRevision = 1000
+	g.Expect(hop.check(r)).To(BeNil())
+}
+
+func TestAServerThatWasReplacedAtItsAddressGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	g.Expect(hop.check(requestTo("10.0.0.2", nil, 0))).To(BeNil())
+	hop.heard("another")
+	g.Expect(hop.check(requestTo("10.0.0.2", nil, 0)).Reason).To(Equal(verdict.ReasonLacksResource))
+	g.Expect(hop.heard("10.0.0.2")).To(BeTrue())
+	g.Expect(hop.check(requestTo("10.0.0.2", nil, 0))).To(BeNil())
+}
+
+func TestABarredRequestIsNeverHandedOver(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	g.Expect(hop.Bar("9c41")).To(BeFalse())
+	_, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonFenced))
+	g.Expect(hop.handOver("7e1a")).To(BeTrue())
+	g.Expect(hop.Bar("7e1a")).To(BeTrue())
+}
+
+func TestAServiceThatTheHostDoesNotRunIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	r := requestTo("10.0.0.2", nil, 0)
+	r.Service = "status"
+	g.Expect(hop.check(r).Reason).To(Equal(verdict.ReasonLacksResource))
+}
+
+func TestAStoppingNodeRefusesWork(t *testing.T) {
+	g := NewWithT(t)
+	hop := hopOf(t, viewOf(1))
+	hop.SetStopping()
+	_, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+	g.Expect(verdict.Of(err).Verdict).To(Equal(verdict.NotRun))
+	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonLeaving))
+}
