Let a late answer outweigh the price of crossing

A server whose answer is expected late now weighs 5 s more, and the price of crossing is bounded at 4 s only.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,9 +19,13 @@
 	// crossCostPerKB is what a kilobyte between data centres weighs against
 	// waiting: such bytes are billed, those inside one are not.
 	crossCostPerKB = 15 * time.Millisecond
-	// maxCrossShare bounds that weight to a part of the objective, so that a
-	// request that the own data centre would serve late goes to another.
-	maxCrossShare = 0.4
+	// maxCrossCost bounds that weight below lateCost: a request that the own data
+	// centre would serve late goes to another that serves it in time.
+	maxCrossCost = 4 * time.Second
+	// lateCost is what an answer after the objective weighs, and lateShare the part
+	// of the objective from which one is expected to be late: times vary.
+	lateCost  = 5 * time.Second
+	lateShare = 0.8
 	// answerKB is the size of an answer that is assumed.
 	answerKB = 1.5
 	// crossDelay is the way between data centres and back.
@@ -251,6 +255,12 @@
 	if over := busy + 1 - float64(slots); over > 0 {
 		weight += service.Seconds() * over / float64(slots)
 	}
+	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.Local {
+		weight += s.load.BodyWait.Seconds()*fade(age, loadFades) + float64(r.BodyBytes)/float64(s.load.BodyRate)
+	}
+	if r.Objective > 0 && weight > lateShare*r.Objective.Seconds() {
+		weight += lateCost.Seconds()
+	}
 	weight += failingCost.Seconds() * s.load.Failing * fade(age, serviceFades)
 	if s.outstanding > 0 {
 		// A host that lost power, or stands still, says nothing.
@@ -258,14 +268,7 @@
 	}
 	if l.DataCentre != b.dataCentre {
 		kilobytes := float64(r.BodyBytes)/1024 + answerKB
-		cost := crossCostPerKB.Seconds() * kilobytes
-		if r.Objective > 0 {
-			cost = min(cost, maxCrossShare*r.Objective.Seconds())
-		}
-		weight += crossDelay.Seconds() + cost
-	}
-	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.Local {
-		weight += s.load.BodyWait.Seconds()*fade(age, loadFades) + float64(r.BodyBytes)/float64(s.load.BodyRate)
+		weight += crossDelay.Seconds() + min(crossCostPerKB.Seconds()*kilobytes, maxCrossCost.Seconds())
 	}
 	if l.Suspect {
 		weight += suspectCost.Seconds()
