--- a/internal/sidecar/stopper.go
+++ b/internal/sidecar/stopper.go
@@ -23,15 +23,16 @@
 	return &stopper{grace: s.DrainLimit, flags: f, hop: hop, callers: callers, logger: logger}
 }
 
-// drain says that the node is not ready and refuses new work for its own
-// server. Once callers have turned elsewhere it takes no new requests, and waits
-// until none is under way, but no longer than the permitted time allows.
+// drain says that the node is not ready, and goes on as before until callers have
+// turned elsewhere: without this node its server serves nobody. Then it takes no new
+// requests, neither from callers nor for its server, and waits until none is under
+// way, but no longer than the permitted time allows.
 func (s *stopper) drain(ctx context.Context) {
 	started := time.Now()
 	s.logger.Info().Str("part", "node").Int64("busy", s.flags.busy.Load()).Msg("stopping")
 	s.flags.stopping.Store(true)
-	s.hop.SetStopping()
 	s.wait(ctx, started.Add(outOfTraffic), func() bool { return false })
+	s.hop.SetStopping()
 	s.closeIntake(ctx)
 	limit := started.Add(time.Duration(graceShare * float64(s.grace)))
 	s.wait(ctx, limit, func() bool { return s.flags.busy.Load() == 0 && s.hop.Load().Running == 0 })
--- a/test/mesh/failures_test.go
+++ b/test/mesh/failures_test.go
@@ -16,6 +16,7 @@
 const (
 	perSecond   = 60
 	drainBound  = 2 * time.Second // after which a leaving server gets nothing
+	callersTurn = 2 * time.Second // in which callers leave a node that is not ready
 	configBound = 2 * time.Second // in which a configuration is in force
 )
 
@@ -49,6 +50,24 @@
 		}
 	})
 
+	It("goes on serving the server of a stopping node until callers have turned elsewhere", func() {
+		only := f.machines[0]
+		for _, m := range f.machines[1:hostsEach] {
+			m.server.Drain()
+		}
+		time.Sleep(configBound)
+		only.signal(syscall.SIGTERM)
+		stopped := time.Now()
+		for time.Since(stopped) < callersTurn {
+			c := f.do(f.machines[4], http.MethodGet, "/status/a", nil)
+			Expect(c.good()).To(BeTrue(), "%+v\n%s", c, f.logsOf(c.id))
+		}
+		Expect(only.isReady()).To(BeFalse())
+		Expect(only.wait()).To(Succeed())
+		Expect(time.Since(stopped)).To(BeNumerically("<", grace))
+		only.start()
+	})
+
 	It("keeps its promises when nodes are killed and restarted", func() {
 		calls := f.during(perSecond, func() {
 			for _, m := range f.machines {
