--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -20,6 +20,9 @@
 	// heapShare is the part of the permitted memory at which the runtime collects
 	// garbage whatever it costs; the rest is for the program and sockets.
 	heapShare = 0.6
+	// gcPercent is the growth of the heap between collections. Memory is dearer
+	// to the operators than the processor time of collections.
+	gcPercent = 50
 	// settingsPoll is how often the settings file is looked at: it may change
 	// without a signal.
 	settingsPoll = 5 * time.Second
@@ -52,6 +55,7 @@
 }
 
 func limitMemory(s settings.Settings) {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB) * (1 << 20)))
 }
 
