--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -37,7 +37,8 @@
 type Reply struct {
 	// ID is the request's that is answered; empty when the server does not tell.
 	ID string
-	// Signed reports that the server vouches for the answer.
+	// Signed reports that the server vouches for the answer. A success that it
+	// does not vouch for is not its own.
 	Signed bool
 	// NotRun reports the server's word that it did not run the request.
 	NotRun bool
@@ -45,8 +46,6 @@
 	OtherServer bool
 	// Server is the one that answered; empty when it does not tell.
 	Server mesh.ServerID
-	// Busy is what the server says of its load; nil when it does not tell.
-	Busy *Busy
 	// ColdFor is how long the server stays cold; 0 when it is warm.
 	ColdFor time.Duration
 	// IdleLimit is how long the server keeps an unused connection; 0 when it
@@ -54,11 +53,6 @@
 	IdleLimit time.Duration
 }
 
-// Busy is a server's own word about its load.
-type Busy struct {
-	Running, Waiting, Slots int
-}
-
 // Headers translates between headers and the types of this package.
 type Headers interface {
 	// Call reads a caller's request.
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -28,6 +28,8 @@
 	inlineBody = 8 << 10
 )
 
+var errUnsigned = eris.New("a success that the server does not vouch for")
+
 var errStray = eris.New("only answers to other requests arrived")
 
 // Answer is a backend server's answer with its meaning.
@@ -202,6 +204,9 @@
 		}
 		reply := x.client.headers.Reply(response.StatusCode, response.Header)
 		if reply.ID == "" || reply.ID == x.request.ID {
+			if response.StatusCode < http.StatusMultipleChoices && !reply.Signed && !x.request.Order.Probe {
+				return nil, protocol.Reply{}, errUnsigned
+			}
 			return response, reply, nil
 		}
 		if response.Close {
--- a/internal/serverconn/serverconn_test.go
+++ b/internal/serverconn/serverconn_test.go
@@ -35,7 +35,7 @@
 	h.Set("Id", o.ID)
 }
 func (headers) Reply(status int, h http.Header) protocol.Reply {
-	r := protocol.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	r := protocol.Reply{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Unsigned") == ""}
 	if h.Get("Idle") != "" {
 		r.IdleLimit = time.Second
 	}
@@ -209,6 +209,7 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}),
 		Entry("no HTTP at all", func(c net.Conn) { _, _ = io.WriteString(c, "\x00\x01nonsense\r\n\r\n") }),
+		Entry("a success without a signature", func(c net.Conn) { reply(c, "1", "forged", "Unsigned: 1\r\n") }),
 		Entry("only answers to others", func(c net.Conn) {
 			for range 8 {
 				reply(c, "other", "x")
