--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -22,7 +22,7 @@
 		Name:       "node",
 		ShortUsage: programName + " node --settings FILE [flags]",
 		ShortHelp:  "Run a node beside a backend server.",
-		LongHelp: examples("Flags go over "+settings.EnvPrefix+"_... in the environment, which goes over the file. SIGTERM is a planned stop; a second one ends at once.",
+		LongHelp: examples("Flags go over "+settings.EnvPrefix+"_... in the environment, which goes over the file. SIGTERM is a planned stop; a second one ends at once. With --store the node runs on the platform: it follows its metadata store, and SIGHUP makes it read its settings again.",
 			programName+" node --settings node.json",
 			programName+" node --settings node.json --log-level debug"),
 		FlagSet: flags,
