Trust a gate's word about a request only from the process that got it

Found by reading: a node that is killed after it handed a request to its server, and restarted within 300 ms, would say that it never handed it over, and the entry would send an unsafe request once more. Requests that find all gates full get their time to come back varied as well.

--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -119,56 +119,69 @@
 	}
 }
 
-func (d *Dialer) dial(ctx context.Context, address string) (*yamux.Session, error) {
+// Boot returns the start of the process that the link to a peer was last made
+// with, in Unix milliseconds by its own clock; 0 when there was none.
+func (d *Dialer) Boot(address string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if peer, ok := d.peers[address]; ok {
+		return peer.boot.Load()
+	}
+	return 0
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (*yamux.Session, int64, error) {
 	netDialer := net.Dialer{Timeout: d.cfg.DialTimeout}
 	conn, err := netDialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if err := limitSilence(conn, d.cfg.SilenceLimit); err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, 0, err
 	}
 	counted := &countedConn{Conn: newCoalescingConn(conn), counter: d.counter, class: d.class}
 	if _, err := counted.Write([]byte{byte(d.class)}); err != nil {
 		_ = counted.Close()
-		return nil, err
+		return nil, 0, err
 	}
 	session, err := yamux.Client(counted, d.cfg.yamux())
 	if err != nil {
 		_ = counted.Close()
-		return nil, err
+		return nil, 0, err
 	}
-	if err := d.greet(session); err != nil {
+	boot, err := d.greet(session)
+	if err != nil {
 		_ = session.Close()
-		return nil, err
+		return nil, 0, err
 	}
-	return session, nil
+	return session, boot, nil
 }
 
-func (d *Dialer) greet(session *yamux.Session) error {
+// greet exchanges identities and returns the peer's BootMillis.
+func (d *Dialer) greet(session *yamux.Session) (int64, error) {
 	conn, err := session.OpenStream()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	stream := newStream(conn)
 	defer stream.Close()
 	_ = conn.SetDeadline(time.Now().Add(d.cfg.DialTimeout))
 	opening := &wire.Opening{Kind: &wire.Opening_Hello{Hello: d.self.hello()}}
 	if err := stream.Send(opening); err != nil {
-		return err
+		return 0, err
 	}
 	if err := stream.Flush(); err != nil {
-		return err
+		return 0, err
 	}
 	answer := &wire.Hello{}
 	if err := stream.Receive(answer); err != nil {
-		return err
+		return 0, err
 	}
 	if answer.GetProtocol() == 0 {
-		return ErrProtocol
+		return 0, ErrProtocol
 	}
-	return nil
+	return answer.GetBootMillis(), nil
 }
 
 // decorrelated returns the next wait after a failure: random between the base
--- a/internal/link/outgoing.go
+++ b/internal/link/outgoing.go
@@ -15,6 +15,7 @@
 	address string
 	live    atomic.Pointer[yamux.Session]
 	usedAt  atomic.Int64 // Unix nanoseconds of the last stream
+	boot    atomic.Int64 // BootMillis of the process behind live
 
 	mu       sync.Mutex // one dial at a time
 	backoff  time.Duration
@@ -36,13 +37,14 @@
 	if time.Now().Before(o.nextDial) {
 		return nil, eris.Wrapf(ErrUnreachable, "%s: waiting to redial", o.address)
 	}
-	session, err := d.dial(ctx, o.address)
+	session, boot, err := d.dial(ctx, o.address)
 	if err != nil {
 		o.backoff = decorrelated(d.cfg.RedialBase, o.backoff, d.cfg.RedialMax)
 		o.nextDial = time.Now().Add(o.backoff)
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", o.address, err)
 	}
 	o.backoff = 0
+	o.boot.Store(boot)
 	o.live.Store(session)
 	return session, nil
 }
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -40,7 +40,9 @@
 	return p.answer(ctx, n, r)
 }
 
-func (p *fakePeers) Bar(_ context.Context, _, id string) (bool, error) {
+func (p *fakePeers) Boot(string) int64 { return 1 }
+
+func (p *fakePeers) Bar(_ context.Context, _, id string, _ int64) (bool, error) {
 	p.mu.Lock()
 	p.bars++
 	p.mu.Unlock()
--- a/internal/sidecar/linkpeers.go
+++ b/internal/sidecar/linkpeers.go
@@ -3,36 +3,61 @@
 import (
 	"context"
 
+	"github.com/rotisserie/eris"
+
 	"boragefall/internal/contract"
 	"boragefall/internal/exchange"
-	"boragefall/internal/link"
 	"boragefall/internal/wire"
 )
 
+// errRestarted reports that another process answers for a gate than the one that
+// a request was sent to. It knows nothing of what that one handed over.
+var errRestarted = eris.New("the gate's process was restarted")
+
 // Peers reaches the other nodes.
 type Peers interface {
 	// Do runs a request at the gate of another node.
 	Do(ctx context.Context, address string, r *contract.Request) (*contract.Answer, error)
+	// Boot names the process behind the present link to a node; 0 is unknown.
+	Boot(address string) int64
 	// Bar asks a gate on a new link never to hand a request over. It reports
-	// whether it had been before.
-	Bar(ctx context.Context, address, id string) (handedOver bool, err error)
+	// whether it had been before, and fails when another process answers than the
+	// one that boot names.
+	Bar(ctx context.Context, address, id string, boot int64) (handedOver bool, err error)
+}
+
+// requestLinks are the links that requests go over.
+type requestLinks interface {
+	Boot(address string) int64
+	Drop(address string)
+}
+
+// barAsker asks on a link of its own.
+type barAsker interface {
+	Bar(ctx context.Context, address string, m *wire.Bar) (*wire.BarAnswer, error)
 }
 
 // linkPeers is Peers over links.
 type linkPeers struct {
 	*exchange.Client
-	dialer  *link.Dialer
-	control interface {
-		Bar(ctx context.Context, address string, m *wire.Bar) (*wire.BarAnswer, error)
-	}
+	links   requestLinks
+	control barAsker
+}
+
+// Boot names the process behind the present link to a node.
+func (p linkPeers) Boot(address string) int64 {
+	return p.links.Boot(address)
 }
 
 // Bar drops the link for requests, since it lost one, and asks on another.
-func (p linkPeers) Bar(ctx context.Context, address, id string) (bool, error) {
-	p.dialer.Drop(address)
+func (p linkPeers) Bar(ctx context.Context, address, id string, boot int64) (bool, error) {
+	p.links.Drop(address)
 	answer, err := p.control.Bar(ctx, address, &wire.Bar{Id: id})
 	if err != nil {
 		return true, err
 	}
+	if boot == 0 || answer.GetBootMillis() != boot {
+		return true, errRestarted
+	}
 	return answer.GetHandedOver(), nil
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -98,7 +98,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, o, o.Platform, o.Logger),
 		fx.Provide(
-			newCatalog, newMetrics, newDialers, newNeighbours, newPoisonOf, newServerClient, newLastHop,
+			newCatalog, newMetrics, newIdentity, newDialers, newNeighbours, newPoisonOf, newServerClient, newLastHop,
 			newDispatcher, newEntry, newCallersServer, newFeed, newStreams, newStopper, newFlags,
 		),
 		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
@@ -164,15 +164,16 @@
 	}
 }
 
-func identity(s settings.Settings) link.Identity {
+// newIdentity names this process; other nodes tell by it whether it was restarted.
+func newIdentity(s settings.Settings) link.Identity {
 	return link.Identity{Host: host.ID(s.Host), BootMillis: time.Now().UnixMilli()}
 }
 
-func newDialers(s settings.Settings, lc fx.Lifecycle) dialers {
+func newDialers(self link.Identity, lc fx.Lifecycle) dialers {
 	counter := &link.Counter{}
 	d := dialers{
-		requests: link.NewDialer(linkConfig(), link.ClassRequest, identity(s), counter),
-		control:  link.NewDialer(linkConfig(), link.ClassControl, identity(s), counter),
+		requests: link.NewDialer(linkConfig(), link.ClassRequest, self, counter),
+		control:  link.NewDialer(linkConfig(), link.ClassControl, self, counter),
 	}
 	lc.Append(fx.StopHook(func() {
 		d.requests.Close()
@@ -210,7 +211,7 @@
 func newDispatcher(s settings.Settings, c *catalog.Catalog, hop *LastHop, d dialers, n *neighbours, m *telemetry.Metrics, logger *log.Logger) *Dispatcher {
 	return &Dispatcher{
 		hop: hop, view: c.View, balancer: balance.New(s.DataCentre), linkPort: n.linkPort, logger: logger, meter: m,
-		peers:  linkPeers{Client: exchange.NewClient(d.requests), dialer: d.requests, control: n.control},
+		peers:  linkPeers{Client: exchange.NewClient(d.requests), links: d.requests, control: n.control},
 		budget: Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 	}
 }
@@ -227,21 +228,21 @@
 	return feed.New(feed.Config{}, p.Store, n, c, m, logger)
 }
 
-func newStreams(hop *LastHop, p *poison, c *catalog.Catalog, f *feed.Feed, logger *log.Logger) *streams {
+func newStreams(self link.Identity, hop *LastHop, p *poison, c *catalog.Catalog, f *feed.Feed, logger *log.Logger) *streams {
 	version := func() config.Version {
 		if view := c.View(); view.Config != nil {
 			return config.Version{Revision: view.Config.Version}
 		}
 		return config.Version{}
 	}
-	return &streams{requests: exchange.NewServer(hop, version, logger), hop: hop, poison: p, catalog: c, feed: f, packer: newPacker(), logger: logger}
+	return &streams{requests: exchange.NewServer(hop, version, logger), boot: self.BootMillis, hop: hop, poison: p, catalog: c, feed: f, packer: newPacker(), logger: logger}
 }
 
 func followCatalog(c *catalog.Catalog, hop *LastHop) {
 	c.OnChange(hop.Update)
 }
 
-func startLinks(lc fx.Lifecycle, s settings.Settings, h *streams, logger *log.Logger) {
+func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streams, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var listener *link.Listener
 	lc.Append(fx.StartStopHook(func() error {
@@ -249,7 +250,7 @@
 		if err != nil {
 			return eris.Wrap(err, "listen for links")
 		}
-		listener = link.NewListener(linkConfig(), identity(s), &link.Counter{}, l, h, logger)
+		listener = link.NewListener(linkConfig(), self, &link.Counter{}, l, h, logger)
 		go listener.Serve(ctx)
 		return nil
 	}, func() {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -160,12 +160,14 @@
 // streams serves what other nodes open on this node's links.
 type streams struct {
 	requests *exchange.Server
-	hop      *LastHop
-	poison   *poison
-	catalog  *catalog.Catalog
-	feed     *feed.Feed
-	packer   *packer
-	logger   *log.Logger
+	// boot names this process in answers about requests.
+	boot    int64
+	hop     *LastHop
+	poison  *poison
+	catalog *catalog.Catalog
+	feed    *feed.Feed
+	packer  *packer
+	logger  *log.Logger
 }
 
 // ServeStream serves one stream. An opening of an unknown kind, which a newer
@@ -177,7 +179,7 @@
 	case opening.GetStateQuery() != nil:
 		s.reply(stream, s.state(ctx, opening.GetStateQuery()))
 	case opening.GetBar() != nil:
-		s.reply(stream, &wire.BarAnswer{HandedOver: s.hop.Bar(opening.GetBar().GetId())})
+		s.reply(stream, &wire.BarAnswer{HandedOver: s.hop.Bar(opening.GetBar().GetId()), BootMillis: s.boot})
 	case opening.GetCrashNotice() != nil:
 		for _, fingerprint := range opening.GetCrashNotice().GetFingerprints() {
 			s.poison.heard(fingerprint, time.Now())
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -75,6 +75,7 @@
 // run starts attempts until one is answered or no further one is permitted.
 func (t *task) run(ctx context.Context) (*contract.Answer, *verdict.Error) {
 	if refusal := t.start(ctx); refusal != nil {
+		refusal.RetryAfter = t.comeBack(refusal.RetryAfter)
 		return nil, refusal
 	}
 	hedge := t.hedgeTimer()
@@ -149,6 +150,10 @@
 	d := t.d
 	var answer *contract.Answer
 	var err error
+	peer := net.JoinHostPort(listing.IP(), d.linkPort)
+	// Read before the send: a link that is made anew meanwhile leads to another
+	// process than this names, and then nothing is proved.
+	boot := d.peers.Boot(peer)
 	if listing.Address == d.hop.address {
 		r.BodyHeld = t.body.Held()
 		answer, err = d.hop.Run(ctx, r)
@@ -156,7 +161,7 @@
 			answer = &contract.Answer{Load: d.hop.Load()}
 		}
 	} else {
-		answer, err = d.peers.Do(ctx, net.JoinHostPort(listing.IP(), d.linkPort), r)
+		answer, err = d.peers.Do(ctx, peer, r)
 	}
 	now := time.Now()
 	if err == nil {
@@ -180,18 +185,18 @@
 	}
 	if failure.Reason == verdict.ReasonConnectionLost && load == nil && listing.Address != d.hop.address {
 		d.balancer.Avoid(listing.ID, now.Add(avoidUnreachable), now)
-		failure = t.bar(ctx, listing, r, failure)
+		failure = t.bar(ctx, listing, peer, boot, failure)
 	}
 	t.results <- result{listing: listing, err: failure}
 }
 
 // bar turns the loss of a link into a proof that the request did not run, when
 // the gate can still be asked and never handed it over.
-func (t *task) bar(ctx context.Context, listing *catalog.Listing, r *contract.Request, lost *verdict.Error) *verdict.Error {
+func (t *task) bar(ctx context.Context, listing *catalog.Listing, peer string, boot int64, lost *verdict.Error) *verdict.Error {
 	ctx, cancel := context.WithTimeout(ctx, barTimeout)
 	defer cancel()
-	handedOver, err := t.d.peers.Bar(ctx, net.JoinHostPort(listing.IP(), t.d.linkPort), r.ID)
-	t.d.logger.Info().Str("part", "entry").Str("request", r.ID).Str("server", string(listing.ID)).
+	handedOver, err := t.d.peers.Bar(ctx, peer, t.request.ID, boot)
+	t.d.logger.Info().Str("part", "entry").Str("request", t.request.ID).Str("server", string(listing.ID)).
 		Bool("handed_over", handedOver).AnErr("cause", err).Msg("link lost, asked the gate")
 	if err != nil || handedOver {
 		return lost
