--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -140,9 +140,9 @@
 	logger  *log.Logger
 	// lost reports that the last call of the store failed.
 	lost atomic.Bool
-	// currentAt is when the catalog was last known to be current, in Unix
-	// nanoseconds.
-	currentAt atomic.Int64
+	// currentAt is when the catalog was last known to be current. It holds the
+	// steady clock's reading as well: the time of day may jump.
+	currentAt atomic.Pointer[time.Time]
 	// listed reports that the catalog may be watched from its revision; only Run
 	// touches it.
 	listed bool
@@ -150,7 +150,9 @@
 
 // New returns a feed.
 func New(cfg Config, store Store, peers Peers, c *catalog.Catalog, meter Meter, logger *log.Logger) *Feed {
-	return &Feed{cfg: cfg.withDefaults(), store: store, peers: peers, catalog: c, meter: meter, logger: logger}
+	f := &Feed{cfg: cfg.withDefaults(), store: store, peers: peers, catalog: c, meter: meter, logger: logger}
+	f.currentAt.Store(&time.Time{}) // a node that has read nothing is as old as can be
+	return f
 }
 
 // Run reads until the context ends.
@@ -199,13 +201,17 @@
 		return false
 	}
 	f.catalog.Merge(state.Items, state.Complete, state.Revision, now)
-	f.currentAt.Store(now.Add(-state.Age).UnixNano())
+	f.setCurrent(now.Add(-state.Age))
 	return true
 }
 
 // Age returns the time since the catalog was known to be current.
 func (f *Feed) Age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.currentAt.Load()))
+	return now.Sub(*f.currentAt.Load())
+}
+
+func (f *Feed) setCurrent(at time.Time) {
+	f.currentAt.Store(&at)
 }
 
 // read makes one call of the store and applies what it brings.
@@ -248,7 +254,7 @@
 
 func (f *Feed) answered() {
 	f.lost.Store(false)
-	f.currentAt.Store(time.Now().UnixNano())
+	f.setCurrent(time.Now())
 	if f.catalog.StoreBack(time.Now()) {
 		f.logger.Info().Str("part", "feed").Msg("store answers again")
 	}
