--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"boragefall/internal/verdict"
 )
 
@@ -28,6 +30,8 @@
 	// highPressure is the share of requests without room beyond which late ones
 	// are refused: those that are on time go first and leave nothing for them.
 	highPressure = 0.15
+	// rememberedClasses bounds the classes whose service time is known.
+	rememberedClasses = 512
 	// learnRate is the weight of a new sample in the moving means.
 	learnRate = 0.1
 	// minRetryAfter is the least time to come back after a refusal; it is the
@@ -78,7 +82,8 @@
 	// closed reports that the server gets no new work.
 	closed  bool
 	service mean
-	classes map[string]*mean
+	// classes holds the service time of each class; routes come and go.
+	classes *simplelru.LRU[string, *mean]
 	failing mean
 	// pressure is the share of requests that found no room on time lately.
 	pressure mean
@@ -86,7 +91,11 @@
 
 // NewMachine returns a machine whose server was not heard of yet.
 func NewMachine(slots int, coldRate float64) *Machine {
-	return &Machine{slots: max(slots, 1), coldRate: coldShare * coldRate, held: true, classes: map[string]*mean{}}
+	classes, err := simplelru.NewLRU[string, *mean](rememberedClasses, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Machine{slots: max(slots, 1), coldRate: coldShare * coldRate, held: true, classes: classes}
 }
 
 // Offer takes a request in or refuses it.
@@ -368,17 +377,17 @@
 
 func (m *Machine) learn(class string, took time.Duration) {
 	m.service.add(took.Seconds())
-	known := m.classes[class]
-	if known == nil {
+	known, ok := m.classes.Get(class)
+	if !ok {
 		known = &mean{}
-		m.classes[class] = known
+		m.classes.Add(class, known)
 	}
 	known.add(took.Seconds())
 }
 
 // typical is the time that a request of a class takes; 0 while unknown.
 func (m *Machine) typical(class string) time.Duration {
-	if known := m.classes[class]; known != nil {
+	if known, ok := m.classes.Get(class); ok {
 		return known.duration()
 	}
 	return m.service.duration()
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"boragefall/internal/mesh"
 )
 
@@ -12,9 +14,12 @@
 // stretch of requests has the weights' proportions.
 type shares struct {
 	mu     sync.Mutex
-	routes map[string]*turns
+	routes *simplelru.LRU[string, *turns]
 }
 
+// rememberedSplits bounds the split routes whose turns are kept.
+const rememberedSplits = 256
+
 // turns is the state of one split route.
 type turns struct {
 	// credits holds what each share is owed; they sum up to 0.
@@ -23,7 +28,11 @@
 }
 
 func newShares() *shares {
-	return &shares{routes: map[string]*turns{}}
+	routes, err := simplelru.NewLRU[string, *turns](rememberedSplits, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &shares{routes: routes}
 }
 
 // pick returns the service that the next request of a route goes to.
@@ -33,10 +42,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.routes[route.Name]
-	if t == nil || !sameSplit(t.split, route.Shares) {
+	t, ok := s.routes.Get(route.Name)
+	if !ok || !sameSplit(t.split, route.Shares) {
 		t = newTurns(route.Shares)
-		s.routes[route.Name] = t
+		s.routes.Add(route.Name, t)
 	}
 	return t.next()
 }
