List instead of watching while large changes crowd

Traced with its log: the host has a link of 10 Mbit/s and read the store itself, since the other hosts of its data centre were without power; each watch brought every version of a configuration of 813 routes, three or four at a time, and took two seconds. Ruled out: the leader (there was none), the store (its calls were answered in time elsewhere). A list brings the last version only; it replaces the watch until nothing new comes. TestAStormOfLargeChangesKeepsTheBoundOnANarrowLink fails on the old rule.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -74,6 +74,10 @@
 	// of changes costs few calls. Default 350 ms; it delays every change, of
 	// which the strictest must be in force within 2 s.
 	Gather time.Duration
+	// CrowdedBytes is the size of the events of one watch beyond which lists take
+	// the place of watches until nothing new comes. Default 256 KiB, a fifth of a
+	// second on a link of 10 Mbit/s.
+	CrowdedBytes int
 	// RetryBase and RetryMax bound the pause after a failed call. Defaults
 	// 100 ms and 800 ms, so that a store that is back is noticed within a second.
 	RetryBase, RetryMax time.Duration
@@ -90,6 +94,8 @@
 // that a store that is silent costs no more than a call's own timeout.
 const probeWait = time.Millisecond
 
+const defaultCrowdedBytes = 256 << 10
+
 const (
 	defaultWait         = 600 * time.Millisecond
 	defaultFollowWait   = 500 * time.Millisecond
@@ -105,6 +111,9 @@
 )
 
 func (c Config) withDefaults() Config {
+	if c.CrowdedBytes <= 0 {
+		c.CrowdedBytes = defaultCrowdedBytes
+	}
 	fill(&c.Wait, defaultWait)
 	fill(&c.FollowWait, defaultFollowWait)
 	fill(&c.MaxAge, defaultMaxAge)
@@ -144,8 +153,11 @@
 	// steady clock's reading as well: the time of day may jump.
 	currentAt atomic.Pointer[time.Time]
 	// listed reports that the catalog may be watched from its revision; only Run
-	// touches it.
+	// touches it, and crowded.
 	listed bool
+	// crowded reports that the last events were large: a watch brings every
+	// version of a key, a list only the last.
+	crowded bool
 }
 
 // New returns a feed.
@@ -216,16 +228,8 @@
 
 // read makes one call of the store and applies what it brings.
 func (f *Feed) read(ctx context.Context) (changed bool, err error) {
-	if !f.listed {
-		items, at, err := f.store.List(ctx)
-		f.count("list", err)
-		if err != nil {
-			return false, err
-		}
-		f.answered()
-		f.catalog.Replace(items, at, time.Now())
-		f.listed = true
-		return false, nil
+	if !f.listed || f.crowded {
+		return f.list(ctx)
 	}
 	wait := f.cfg.Wait
 	if f.lost.Load() {
@@ -238,9 +242,34 @@
 	}
 	f.answered()
 	f.catalog.Apply(events, at, time.Now())
+	f.crowded = bytesOf(events) > f.cfg.CrowdedBytes
 	return len(events) > 0, nil
 }
 
+// list reads all items. While the events are crowded it reports whether there was
+// something new, and the next call lists again.
+func (f *Feed) list(ctx context.Context) (changed bool, err error) {
+	items, at, err := f.store.List(ctx)
+	f.count("list", err)
+	if err != nil {
+		return false, err
+	}
+	f.answered()
+	known := f.catalog.Revision()
+	f.catalog.Replace(items, at, time.Now())
+	f.listed = true
+	f.crowded = f.crowded && at > known
+	return f.crowded, nil
+}
+
+func bytesOf(items []catalog.Item) int {
+	n := 0
+	for _, item := range items {
+		n += len(item.Value)
+	}
+	return n
+}
+
 func (f *Feed) count(call string, err error) {
 	result := "ok"
 	switch {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -30,6 +30,25 @@
 	deaf    bool
 	lists   int
 	watches int
+	// value is the size of each item, and perSecond the bytes that the link takes.
+	value, perSecond int
+}
+
+// transfer takes the time in which items cross the link.
+func (s *fakeStore) transfer(items []catalog.Item) []catalog.Item {
+	s.mu.Lock()
+	value, perSecond := s.value, s.perSecond
+	s.mu.Unlock()
+	if perSecond == 0 {
+		return items
+	}
+	out := make([]catalog.Item, 0, len(items))
+	for _, item := range items {
+		item.Value = make([]byte, value)
+		out = append(out, item)
+	}
+	time.Sleep(time.Duration(len(items)) * time.Duration(value) * time.Second / time.Duration(perSecond))
+	return out
 }
 
 var errDown = errors.New("down")
@@ -54,7 +73,10 @@
 		return nil, 0, errDown
 	}
 	s.gone = false
-	return s.items[len(s.items)-1:], s.items[len(s.items)-1].Revision, nil
+	last := s.items[len(s.items)-1:]
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	return s.transfer(last), last[0].Revision, nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Item, uint64, error) {
@@ -71,7 +93,7 @@
 		case gone && !deaf:
 			return nil, 0, feed.ErrHistoryGone
 		case !deaf && last.Revision > after:
-			return []catalog.Item{last}, last.Revision, nil
+			return s.transfer(s.since(after)), last.Revision, nil
 		case !time.Now().Before(end) || ctx.Err() != nil:
 			s.set(func() { s.deaf = false })
 			return nil, after, nil
@@ -80,6 +102,18 @@
 	}
 }
 
+func (s *fakeStore) since(after uint64) []catalog.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []catalog.Item
+	for _, item := range s.items {
+		if item.Revision > after {
+			out = append(out, item)
+		}
+	}
+	return out
+}
+
 // fakePeers answers as a test scripts.
 type fakePeers struct {
 	mu sync.Mutex
@@ -197,6 +231,26 @@
 	})
 }
 
+// A storm of configurations of 270 KB (360 KB as text), three a second, over a link
+// of 10 Mbit/s that carries requests as well:
+// a watch brings each of them, and falls behind by more with each round.
+func TestAStormOfLargeChangesKeepsTheBoundOnANarrowLink(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}, value: 360_000, perSecond: 7_000_000 / 8}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		const gap = 330 * time.Millisecond
+		for revision := uint64(2); revision < 40; revision++ {
+			store.put(revision)
+			time.Sleep(gap)
+			if behind := time.Duration(revision-min(c.View().Revision, revision)) * gap; behind > configBound {
+				t.Fatalf("%v behind at revision %d", behind, revision)
+			}
+		}
+		time.Sleep(configBound)
+		wantRevision(t, c, 39)
+	})
+}
+
 func TestForgottenHistoryIsListedAnew(t *testing.T) {
 	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
 	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
