--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,8 @@
 
 // Settings are what one node is told at its start.
 type Settings struct {
+	// File is the settings file; empty when there is none.
+	File string
 	// Host names the host in the platform's host list. Required.
 	Host string
 	// DataCentre and Region say where the host stands. Required.
@@ -107,7 +109,7 @@
 // FlagSet returns flags that fill the settings.
 func (s *Settings) FlagSet(name string) *flag.FlagSet {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
-	flags.String("settings", "", "JSON `file` with these settings, without the dashes")
+	flags.StringVar(&s.File, "settings", "", "JSON `file` with these settings, without the dashes")
 	flags.StringVar(&s.Host, "host", "", "`name` of this host in the host list")
 	flags.StringVar(&s.DataCentre, "data-centre", "", "`name` of this host's data centre")
 	flags.StringVar(&s.Region, "region", "", "`name` of this host's region")
--- /dev/null
+++ b/internal/sidecar/dispatcher_test.go
@@ -0,0 +1,352 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/balance"
+	"boragefall/internal/catalog"
+	"boragefall/internal/contract"
+	"boragefall/internal/host"
+	"boragefall/internal/mesh"
+	"boragefall/internal/serverconn"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/verdict"
+)
+
+// fakePeers answers as a test scripts, by the number of the send from 0.
+type fakePeers struct {
+	mu     sync.Mutex
+	sent   []string // servers, in order
+	answer func(ctx context.Context, n int, r *contract.Request) (*contract.Answer, error)
+	barred func(id string) (bool, error)
+	bars   int
+}
+
+func (p *fakePeers) Do(ctx context.Context, _ string, r *contract.Request) (*contract.Answer, error) {
+	p.mu.Lock()
+	n := len(p.sent)
+	p.sent = append(p.sent, r.Server)
+	p.mu.Unlock()
+	return p.answer(ctx, n, r)
+}
+
+func (p *fakePeers) Bar(_ context.Context, _, id string) (bool, error) {
+	p.mu.Lock()
+	p.bars++
+	p.mu.Unlock()
+	return p.barred(id)
+}
+
+func (p *fakePeers) sends() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sent)
+}
+
+type fakeMeter struct{}
+
+func (fakeMeter) Answered(string, int, time.Duration) {}
+func (fakeMeter) Refused(string, string)              {}
+func (fakeMeter) Attempted(string)                    {}
+
+// closeCounter counts the closing of an answer's body.
+type closeCounter struct {
+	io.Reader
+	closed *int
+}
+
+func (c closeCounter) Close() error {
+	*c.closed++
+	return nil
+}
+
+func answerOf(status int) *contract.Answer {
+	return &contract.Answer{
+		Status: status, Header: http.Header{}, Load: contract.Load{Limit: 9, State: host.StateWarm},
+		Body: io.NopCloser(bytes.NewReader([]byte("answer"))),
+	}
+}
+
+// viewOf returns a view of one service with servers on hosts of their own.
+func viewOf(servers int) *catalog.View {
+	c := catalog.New(serverDecoder{}, telemetry.Silent())
+	var items []catalog.Item
+	for i := range servers {
+		items = append(items, catalog.Item{Key: fmt.Sprint("10.0.0.", i+2), Revision: uint64(i + 1)})
+	}
+	items = append(items, catalog.Item{Key: "config", Revision: 100})
+	c.Apply(items, 100, time.Now())
+	return c.View()
+}
+
+// serverDecoder makes a server of each key, and a configuration of one.
+type serverDecoder struct{}
+
+func (serverDecoder) Decode(item catalog.Item) (catalog.Record, error) {
+	if item.Key == "config" {
+		return catalog.Record{Subject: catalog.SubjectConfig, Config: &mesh.Config{
+			Version: 1, Services: map[string]mesh.Service{"orders": {Name: "orders", ColdRate: 10, HealthPath: "/health"}},
+		}}, nil
+	}
+	return catalog.Record{Subject: catalog.SubjectServer, ServerID: mesh.ServerID(item.Key), Server: &mesh.Server{
+		ID: mesh.ServerID(item.Key), Service: "orders", Address: item.Key + ":8000", DataCentre: "north", Slots: 9,
+	}}, nil
+}
+
+// world is a dispatcher whose servers are all on other hosts.
+type world struct {
+	*WithT
+	peers      *fakePeers
+	dispatcher *Dispatcher
+}
+
+func newWorld(t *testing.T, servers int) *world {
+	view := viewOf(servers)
+	poison, err := newPoison(func(uint64) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hop, err := NewLastHop(LastHopConfig{
+		Address: "10.0.0.1:8000", Service: "other", View: func() *catalog.View { return view },
+		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Poison: poison, Logger: telemetry.Silent(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{WithT: NewWithT(t), peers: &fakePeers{barred: func(string) (bool, error) { return true, nil }}}
+	w.dispatcher = &Dispatcher{
+		hop: hop, view: func() *catalog.View { return view }, peers: w.peers, balancer: balance.New("north"),
+		budget: Budget{Ratio: 0.2, Slack: 4 * servers}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
+	}
+	return w
+}
+
+// noBody is the body of a request without one.
+type noBody struct{}
+
+func (noBody) Open() (io.Reader, bool) { return http.NoBody, true }
+
+func (w *world) do(ctx context.Context, idempotent bool) (*contract.Answer, *verdict.Error) {
+	now := time.Now()
+	route := &mesh.Route{Name: "order", MaxAttempts: 2}
+	return w.dispatcher.Do(ctx, &contract.Request{
+		ID: "9c41", Service: "orders", Route: "order", Idempotent: idempotent,
+		Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond),
+	}, route, noBody{})
+}
+
+func lost() error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, io.ErrUnexpectedEOF)
+}
+
+func TestARequestThatMustNotRunTwiceIsNotSentAgainAfterItMayHaveRun(t *testing.T) {
+	w := newWorld(t, 3)
+	w.peers.answer = func(context.Context, int, *contract.Request) (*contract.Answer, error) { return nil, lost() }
+	_, e := w.do(t.Context(), false)
+	w.Expect(e.Verdict).To(Equal(verdict.MayHaveRun))
+	w.Expect(w.peers.sends()).To(Equal(1))
+	w.Expect(w.peers.bars).To(Equal(1))
+}
+
+func TestALostLinkIsNoLossWhenTheGateCanBarTheRequest(t *testing.T) {
+	w := newWorld(t, 3)
+	w.peers.barred = func(id string) (bool, error) { w.Expect(id).To(Equal("9c41")); return false, nil }
+	w.peers.answer = func(_ context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+		if n == 0 {
+			return nil, lost()
+		}
+		return answerOf(http.StatusOK), nil
+	}
+	answer, e := w.do(t.Context(), false)
+	w.Expect(e).To(BeNil())
+	w.Expect(answer.Status).To(Equal(http.StatusOK))
+	w.Expect(w.peers.sends()).To(Equal(2))
+}
+
+func TestRefusalsOfGatesMoveARequestOn(t *testing.T) {
+	w := newWorld(t, 3)
+	w.peers.answer = func(_ context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+		if n < 2 {
+			return &contract.Answer{}, verdict.Refuse(verdict.ReasonOverloaded, 100*time.Millisecond)
+		}
+		return answerOf(http.StatusOK), nil
+	}
+	answer, e := w.do(t.Context(), false)
+	w.Expect(e).To(BeNil())
+	w.Expect(answer.Status).To(Equal(http.StatusOK))
+	w.Expect(w.peers.sent).To(ConsistOf("10.0.0.2", "10.0.0.3", "10.0.0.4"))
+}
+
+func TestARequestThatAllGatesRefuseIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.peers.answer = func(context.Context, int, *contract.Request) (*contract.Answer, error) {
+			return &contract.Answer{}, verdict.Refuse(verdict.ReasonOverloaded, 100*time.Millisecond)
+		}
+		started := time.Now()
+		_, e := w.do(t.Context(), false)
+		w.Expect(time.Since(started)).To(BeZero())
+		w.Expect(e.Verdict).To(Equal(verdict.NotRun))
+		w.Expect(e.RetryAfter).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+}
+
+// Servers that turn away half of what they get made each refusal a further
+// arrival: fleetbench scale-1 counted 686 in ten seconds where 561 were allowed.
+func TestServersThatShedDoNotBreakTheBudgetOfRepeats(t *testing.T) {
+	const servers, requests = 3, 1000
+	w := newWorld(t, servers)
+	w.peers.answer = func(context.Context, int, *contract.Request) (*contract.Answer, error) {
+		return &contract.Answer{}, verdict.Refuse(verdict.ReasonServerRefused, 50*time.Millisecond)
+	}
+	for range requests {
+		_, e := w.do(t.Context(), true)
+		w.Expect(e.Verdict).To(Equal(verdict.NotRun))
+	}
+	repeats := w.peers.sends() - requests
+	w.Expect(repeats).To(BeNumerically("<=", int(w.dispatcher.budget.Ratio*requests)+w.dispatcher.budget.Slack))
+}
+
+func TestServersThatFailDoNotBreakTheBudgetOfRepeats(t *testing.T) {
+	const requests = 1000
+	w := newWorld(t, 3)
+	w.peers.answer = func(context.Context, int, *contract.Request) (*contract.Answer, error) {
+		return answerOf(http.StatusInternalServerError), nil
+	}
+	for range requests {
+		answer, e := w.do(t.Context(), true)
+		w.Expect(e).To(BeNil())
+		w.Expect(answer.Body.Close()).To(Succeed())
+	}
+	w.Expect(w.peers.sends() - requests).To(BeNumerically("<=", int(w.dispatcher.budget.Ratio*requests)+w.dispatcher.budget.Slack))
+}
+
+// The first run on the bench ended in a stack overflow here.
+func TestAFailingAnswerThatIsPassedOnIsClosedOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	closed := 0
+	w.peers.answer = func(context.Context, int, *contract.Request) (*contract.Answer, error) {
+		a := answerOf(http.StatusInternalServerError)
+		a.Body = closeCounter{Reader: a.Body, closed: &closed}
+		return a, nil
+	}
+	answer, e := w.do(t.Context(), true)
+	w.Expect(e).To(BeNil())
+	w.Expect(answer.Status).To(Equal(http.StatusInternalServerError))
+	w.Expect(answer.Body.Close()).To(Succeed())
+	w.Expect(closed).To(Equal(1))
+}
+
+func TestASilentServerIsNotTheOnlyOneAskedWhenARequestMayRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		canceled := make(chan struct{})
+		w.peers.answer = func(ctx context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+			if n == 0 {
+				<-ctx.Done()
+				close(canceled)
+				return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, ctx.Err())
+			}
+			return answerOf(http.StatusOK), nil
+		}
+		started := time.Now()
+		answer, e := w.do(t.Context(), true)
+		w.Expect(e).To(BeNil())
+		w.Expect(answer.Status).To(Equal(http.StatusOK))
+		w.Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond), "within the objective")
+		w.Expect(answer.Body.Close()).To(Succeed())
+		<-canceled
+	})
+}
+
+func TestASilentServerIsTheOnlyOneAskedWhenARequestMustNotRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.peers.answer = func(ctx context.Context, _ int, _ *contract.Request) (*contract.Answer, error) {
+			<-ctx.Done()
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, ctx.Err())
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+		defer cancel()
+		_, e := w.do(ctx, false)
+		w.Expect(e.Verdict).To(Equal(verdict.MayHaveRun))
+		w.Expect(e.Reason).To(Equal(verdict.ReasonDeadline))
+		w.Expect(w.peers.sends()).To(Equal(1))
+	})
+}
+
+func TestACallerThatLeavesCancelsItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		ended := make(chan time.Time, 1)
+		w.peers.answer = func(ctx context.Context, _ int, _ *contract.Request) (*contract.Answer, error) {
+			<-ctx.Done()
+			ended <- time.Now()
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, ctx.Err())
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		started := time.Now()
+		_, e := w.do(ctx, false)
+		w.Expect(e.Reason).To(Equal(verdict.ReasonCanceled))
+		w.Expect((<-ended).Sub(started)).To(Equal(100 * time.Millisecond))
+	})
+}
+
+func TestAServiceWithoutServersIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 0)
+	_, e := w.do(t.Context(), true)
+	w.Expect(e.Verdict).To(Equal(verdict.NotRun))
+	w.Expect(e.Reason).To(Equal(verdict.ReasonLacksResource))
+	w.Expect(e.RetryAfter).NotTo(BeZero())
+}
+
+func TestSplitRoutesKeepTheirProportions(t *testing.T) {
+	g := NewWithT(t)
+	s := newShares()
+	route := &mesh.Route{Name: "r", Shares: []mesh.Share{{Service: "a", Weight: 70}, {Service: "b", Weight: 20}, {Service: "c", Weight: 10}}}
+	for range 20 {
+		counts := map[string]int{}
+		for range 100 {
+			counts[s.pick(route)]++
+		}
+		g.Expect(counts).To(Equal(map[string]int{"a": 70, "b": 20, "c": 10}))
+	}
+	changed := &mesh.Route{Name: "r", Shares: []mesh.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	counts := map[string]int{}
+	for range 100 {
+		counts[s.pick(changed)]++
+	}
+	g.Expect(counts).To(Equal(map[string]int{"a": 50, "b": 50}))
+}
+
+func TestARequestThatCrashesServersIsRefusedAfterTheThird(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	told := 0
+	p, err := newPoison(func(uint64) { told++ })
+	g.Expect(err).NotTo(HaveOccurred())
+	p.brokeOff(7, now)
+	p.heard(7, now) // from another gate
+	g.Expect(p.convicted(7, now)).To(BeFalse())
+	p.brokeOff(7, now)
+	g.Expect(p.convicted(7, now)).To(BeTrue())
+	g.Expect(p.convicted(8, now)).To(BeFalse())
+	g.Expect(p.convicted(7, now.Add(suspectFor))).To(BeFalse())
+	g.Expect(told).To(Equal(2))
+	p.heard(8, now)
+	p.heard(8, now)
+	p.ranWell(8)
+	p.heard(8, now)
+	g.Expect(p.convicted(8, now)).To(BeFalse())
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -26,6 +26,8 @@
 const (
 	// noConfigWait is when a node that has just started has a configuration.
 	noConfigWait = 500 * time.Millisecond
+	// sampledAnswers is the number of good answers for each one that is logged.
+	sampledAnswers = 100
 	// copyBytes is the size of the buffers that answers pass through.
 	copyBytes = 32 << 10
 )
@@ -54,6 +56,8 @@
 	Stopping *atomic.Bool
 	// Busy counts the requests under way.
 	Busy *atomic.Int64
+	// answers counts the good answers, of which some are logged.
+	answers atomic.Uint64
 }
 
 // Handler returns the HTTP handler for callers.
@@ -185,10 +189,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.entry.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
-	if a.Status >= http.StatusInternalServerError {
-		x.entry.Logger.Info().Str("part", "entry").Str("request", x.request.ID).Str("route", x.request.Route).
-			Int("status", a.Status).Dur("took", time.Since(x.started)).Msg("the server's own failure passed on")
+	message := "answer passed on"
+	switch {
+	case a.Status >= http.StatusInternalServerError:
+		message = "the server's own failure passed on"
+	case x.entry.answers.Add(1)%sampledAnswers != 0:
+		return
 	}
+	x.entry.Logger.Info().Str("part", "entry").Str("request", x.request.ID).Str("route", x.request.Route).
+		Str("service", x.request.Service).Int("status", a.Status).Dur("took", time.Since(x.started)).Msg(message)
 }
 
 func (x *call) copyBody(a *contract.Answer) error {
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -113,8 +113,11 @@
 }
 
 func (h *LastHop) logRefusal(r *contract.Request, e *verdict.Error) {
-	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).
-		Str("reason", e.Reason.String()).Dur("retry_after", e.RetryAfter).Msg("refused")
+	load := h.gate.Load()
+	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).Str("server", r.Server).
+		Str("reason", e.Reason.String()).Str("state", load.State.String()).Int("running", load.Running).
+		Int("queued", load.Queued).Int("slots", load.Limit).Dur("service", load.Service).
+		Uint64("revision", h.view().Revision).Dur("retry_after", e.RetryAfter).Msg("refused")
 }
 
 // check returns why the server must not get a request, whatever its load.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -80,12 +80,15 @@
 type Options struct {
 	Platform Platform
 	Logger   *log.Logger
+	// DroppedLines returns the number of log lines that were lost.
+	DroppedLines func() uint64
 }
 
 // Node is one running node.
 type Node struct {
-	app     *fx.App
-	stopper *stopper
+	app        *fx.App
+	stopper    *stopper
+	neighbours *neighbours
 }
 
 // Start starts a node.
@@ -93,13 +96,13 @@
 	n := &Node{}
 	n.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(s, o.Platform, o.Logger),
+		fx.Supply(s, o, o.Platform, o.Logger),
 		fx.Provide(
 			newCatalog, newMetrics, newDialers, newNeighbours, newPoisonOf, newServerClient, newLastHop,
 			newDispatcher, newEntry, newCallersServer, newFeed, newStreams, newStopper, newFlags,
 		),
 		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
-		fx.Populate(&n.stopper),
+		fx.Populate(&n.stopper, &n.neighbours),
 		fx.StopTimeout(time.Minute),
 	)
 	if err := n.app.Start(ctx); err != nil {
@@ -108,6 +111,12 @@
 	return n, nil
 }
 
+// Reload takes in the settings that may change while the node runs: the peers
+// that are asked first.
+func (n *Node) Reload(s settings.Settings) {
+	n.neighbours.setSeeds(s.Peers)
+}
+
 // Stop carries out a planned stop.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopper.drain(ctx)
@@ -126,8 +135,11 @@
 	return catalog.New(p.Decoder, logger)
 }
 
-func newMetrics(s settings.Settings, c *catalog.Catalog) *telemetry.Metrics {
+func newMetrics(s settings.Settings, c *catalog.Catalog, o Options) *telemetry.Metrics {
 	m := telemetry.NewMetrics(s.Host)
+	m.Counter("log_lines_dropped_total", "Log lines lost because the output was too slow or closed.", func() float64 {
+		return float64(o.DroppedLines())
+	})
 	m.Gauge("config_version", "Version of the configuration in force.", func() float64 {
 		if view := c.View(); view.Config != nil {
 			return float64(view.Config.Version)
@@ -271,7 +283,12 @@
 	})
 }
 
-func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, logger *log.Logger) {
+func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, f *feed.Feed, client *serverconn.Client, logger *log.Logger) {
+	m.Gauge("gate_running", "Requests that the server beside this node runs.", func() float64 { return float64(hop.Load().Running) })
+	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
+	m.Gauge("gate_failing_ratio", "Share of requests that the server failed lately.", func() float64 { return hop.Load().Failing })
+	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
+	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
 	serve(lc, logger, "admin", s.AdminListen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -36,7 +36,6 @@
 // catalog lists, and all take links at the same port.
 type neighbours struct {
 	view     func() *catalog.View
-	seeds    []string
 	self     string // own link address
 	linkPort string
 	service  string
@@ -46,6 +45,8 @@
 	logger     *log.Logger
 
 	mu sync.Mutex
+	// seeds are asked besides the nodes that the catalog knows.
+	seeds []string
 	// avoided holds the nodes that failed as leaders, and until when.
 	avoided map[string]time.Time
 }
@@ -119,17 +120,25 @@
 // Query asks one node, chosen at random, for its copy of the store.
 func (n *neighbours) Query(ctx context.Context, revision uint64) (feed.State, error) {
 	candidates := n.addresses(func(*catalog.Listing) bool { return true })
+	n.mu.Lock()
 	for _, seed := range n.seeds {
 		if seed != n.self {
 			candidates = append(candidates, seed)
 		}
 	}
+	n.mu.Unlock()
 	if len(candidates) == 0 {
 		return feed.State{}, errNoPeer
 	}
 	return n.Follow(ctx, candidates[rand.IntN(len(candidates))], revision, 0)
 }
 
+func (n *neighbours) setSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seeds = seeds
+}
+
 // tellOfBrokenRun tells the other gates of the service that a server broke off
 // a request.
 func (n *neighbours) tellOfBrokenRun(fingerprint uint64) {
--- a/internal/telemetry/decisionlog.go
+++ b/internal/telemetry/decisionlog.go
@@ -1,27 +1,180 @@
 package telemetry
 
 import (
+	"bytes"
+	"fmt"
 	"io"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 )
 
-// logBuffer is the number of lines that wait for a slow reader; further ones
-// are dropped.
-const logBuffer = 1024
+const (
+	// logBuffer is the number of lines that wait for a slow reader.
+	logBuffer = 1024
+	// requestLinesPerSecond and requestLinesBurst bound the lines about requests;
+	// more are folded into counts. A line costs about 10 µs of a processor.
+	requestLinesPerSecond = 100
+	requestLinesBurst     = 300
+	// foldEvery is the interval of the lines that hold the counts.
+	foldEvery = time.Second
+	// maxFolded bounds the messages that are counted apart.
+	maxFolded = 64
+)
+
+var (
+	requestField = []byte(`"request":"`)
+	messageField = []byte(`"message":"`)
+)
+
+// DecisionLog writes one JSON object a line to an output that may be slow or
+// closed, and never blocks the caller. Lines about requests are written in full
+// up to a rate; beyond it they are counted by message. Lines for which the output
+// is too slow are dropped and counted.
+type DecisionLog struct {
+	// Logger writes to this log.
+	Logger *log.Logger
+
+	out   io.Writer
+	lines chan []byte
+	done  chan struct{}
+
+	mu      sync.Mutex
+	limit   *rate.Limiter
+	folded  map[string]int
+	dropped uint64
+	told    uint64
+	closed  bool
+}
+
+// NewDecisionLog returns a log of a level ("debug", "info", "warn", "error").
+func NewDecisionLog(level string, out io.Writer) *DecisionLog {
+	d := &DecisionLog{
+		out:    out,
+		lines:  make(chan []byte, logBuffer),
+		done:   make(chan struct{}),
+		limit:  rate.NewLimiter(requestLinesPerSecond, requestLinesBurst),
+		folded: map[string]int{},
+	}
+	d.Logger = &log.Logger{
+		Level:      log.ParseLevel(level),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     log.IOWriter{Writer: d},
+	}
+	go d.run()
+	return d
+}
+
+// Write takes one line. It always succeeds.
+func (d *DecisionLog) Write(line []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		d.dropped++
+		return len(line), nil
+	}
+	if bytes.Contains(line, requestField) && !d.limit.Allow() {
+		d.fold(messageOf(line))
+		return len(line), nil
+	}
+	d.enqueue(bytes.Clone(line))
+	return len(line), nil
+}
+
+// Dropped returns the lines that were lost because the output was too slow.
+func (d *DecisionLog) Dropped() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dropped
+}
+
+// Close writes what waits, for a short time at most.
+func (d *DecisionLog) Close() {
+	d.mu.Lock()
+	if !d.closed {
+		d.tell()
+		d.closed = true
+		close(d.lines)
+	}
+	d.mu.Unlock()
+	select {
+	case <-d.done:
+	case <-time.After(foldEvery):
+	}
+}
+
+func (d *DecisionLog) fold(message string) {
+	if _, known := d.folded[message]; !known && len(d.folded) >= maxFolded {
+		message = "others"
+	}
+	d.folded[message]++
+}
+
+func (d *DecisionLog) enqueue(line []byte) {
+	select {
+	case d.lines <- line:
+	default:
+		d.dropped++
+	}
+}
 
-// NewDecisionLogger returns a logger that writes one JSON object a line and
-// never blocks: lines beyond the buffer are dropped. The returned function
-// writes what is buffered.
-func NewDecisionLogger(level string, w io.Writer) (*log.Logger, func()) {
-	writer := &log.AsyncWriter{
-		ChannelSize:   logBuffer,
-		DiscardOnFull: true,
-		Writer:        log.IOWriter{Writer: w},
+func (d *DecisionLog) run() {
+	defer close(d.done)
+	tick := time.NewTicker(foldEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case line, ok := <-d.lines:
+			if !ok {
+				return
+			}
+			if _, err := d.out.Write(line); err != nil {
+				d.mu.Lock()
+				d.dropped++ // there is no other place to report it
+				d.mu.Unlock()
+			}
+		case <-tick.C:
+			d.mu.Lock()
+			if !d.closed {
+				d.tell()
+			}
+			d.mu.Unlock()
+		}
 	}
-	logger := &log.Logger{Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: writer}
-	return logger, func() {
-		// The process ends; a closed output can't be reported anywhere.
-		_ = writer.Close()
+}
+
+// tell writes the counts of what was folded or dropped.
+func (d *DecisionLog) tell() {
+	messages := make([]string, 0, len(d.folded))
+	for message := range d.folded {
+		messages = append(messages, message)
+	}
+	slices.Sort(messages)
+	for _, message := range messages {
+		d.enqueue(d.count("folded", message, uint64(d.folded[message])))
+	}
+	clear(d.folded)
+	if d.dropped > d.told {
+		line := d.count("dropped", "output too slow or closed", d.dropped-d.told)
+		d.told = d.dropped
+		d.enqueue(line)
+	}
+}
+
+func (d *DecisionLog) count(what, of string, n uint64) []byte {
+	return fmt.Appendf(nil, `{"time":"%s","level":"info","part":"log","%s":%q,"count":%d,"message":"lines not written"}`+"\n",
+		time.Now().Format(d.Logger.TimeFormat), what, of, n)
+}
+
+// messageOf returns the message of a line.
+func messageOf(line []byte) string {
+	at := bytes.LastIndex(line, messageField)
+	if at < 0 {
+		return ""
 	}
+	text, _, _ := bytes.Cut(line[at+len(messageField):], []byte{'"'})
+	return string(text)
 }
--- /dev/null
+++ b/internal/telemetry/decisionlog_test.go
@@ -0,0 +1,120 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/telemetry"
+)
+
+// output collects lines; it may block or fail.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+	gate chan struct{} // when set, each write waits for it
+	err  error
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	if o.gate != nil {
+		<-o.gate
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err != nil {
+		return 0, o.err
+	}
+	return o.data.Write(p)
+}
+
+func (o *output) lines() []map[string]any {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []map[string]any
+	for line := range strings.Lines(o.data.String()) {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(line), &m); err != nil {
+			panic(line)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func countOf(lines []map[string]any, field, value string) (written int, counted float64) {
+	for _, l := range lines {
+		if l["message"] == value {
+			written++
+		}
+		if l[field] == value {
+			counted += l["count"].(float64)
+		}
+	}
+	return written, counted
+}
+
+func TestManyLinesAboutRequestsAreFoldedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := &output{}
+		d := telemetry.NewDecisionLog("info", out)
+		for range 5000 {
+			d.Logger.Info().Str("request", "9c41").Msg("refused")
+		}
+		for range 10 {
+			d.Logger.Info().Msg("server gone")
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		d.Close()
+		lines := out.lines()
+		written, folded := countOf(lines, "folded", "refused")
+		g.Expect(written).To(BeNumerically("<=", 400))
+		g.Expect(float64(written) + folded).To(Equal(5000.0))
+		beliefs, _ := countOf(lines, "folded", "server gone")
+		g.Expect(beliefs).To(Equal(10), "what the process believes is always written")
+	})
+}
+
+func TestASlowOutputBlocksNobodyAndIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		out := &output{gate: make(chan struct{})}
+		d := telemetry.NewDecisionLog("info", out)
+		started := time.Now()
+		for range 3000 {
+			d.Logger.Info().Msg("server gone")
+		}
+		g.Expect(time.Since(started)).To(BeZero())
+		lost := d.Dropped()
+		g.Expect(lost).To(BeNumerically(">", 1000))
+		close(out.gate)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		d.Close()
+		_, counted := countOf(out.lines(), "dropped", "output too slow or closed")
+		g.Expect(counted).To(Equal(float64(lost)))
+	})
+}
+
+func TestAClosedOutputHarmsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := telemetry.NewDecisionLog("info", &output{err: errors.New("closed pipe")})
+		for range 100 {
+			d.Logger.Info().Msg("server gone")
+		}
+		synctest.Wait()
+		g.Expect(d.Dropped()).To(BeNumerically(">=", 100))
+		d.Close()
+		d.Logger.Info().Msg("after the end")
+	})
+}
