Add explain-request: from an id to its cause over the nodes' logs

It joins the lines of entries and gates by the request's id and those of a server's calls by their parent's id, and says what the last reason means.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -48,6 +48,7 @@
 		checkCommand(streams),
 		mergeCommand(streams),
 		explainCommand(streams),
+		explainRequestCommand(streams),
 		diffCommand(streams),
 		nodeCommand(streams),
 		statusCommand(streams),
--- /dev/null
+++ b/internal/decisions/decisions_test.go
@@ -0,0 +1,54 @@
+package decisions
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const logs = `
+  5.7 host-b {"time":"2026-06-20T21:25:14.900Z","level":"info","part":"entry","request":"51df","route":"release","service":"suelta","status":500,"took":41.2,"message":"the server's own failure passed on"}
+  5.6 host-b {"time":"2026-06-20T21:25:14.850Z","level":"info","part":"entry","request":"51df.01","route":"lookup","status":503,"verdict":"not-run","reason":"overloaded","message":"answered by the node itself"}
+  5.6 host-c {"time":"2026-06-20T21:25:14.849Z","level":"info","part":"gate","request":"51df.01","reason":"overloaded","running":6,"queued":9,"slots":6,"message":"refused"}
+  5.5 host-b {"time":"2026-06-20T21:25:14.840Z","level":"info","part":"entry","request":"51df.02","status":200,"message":"answer passed on"}
+  5.5 host-b {"time":"2026-06-20T21:25:14.830Z","level":"info","part":"entry","request":"51dfaa","status":503,"reason":"cold","message":"answered by the node itself"}
+panic: 51df {"time":
+  6.0 host-a {"time":"2026-06-20T21:25:15Z","part":"entry","request":"77aa","status":503,"reason":"cold","message":"answered by the node itself"}
+`
+
+func TestTheLinesOfEntryAndGateJoinByTheIDAndCallsByTheirParents(t *testing.T) {
+	g := NewWithT(t)
+	r, err := Find("51df", strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Lines).To(HaveLen(1))
+	g.Expect(r.Calls).To(HaveLen(2))
+	call := r.Calls["51df.01"]
+	g.Expect(call).To(HaveLen(2))
+	g.Expect(call[0].Part).To(Equal("gate"), "in the order of time")
+	g.Expect(call[0].Rest()).To(Equal("queued=9 running=6 slots=6"))
+	g.Expect(call[0].Source).To(Equal("5.6 host-c"))
+}
+
+func TestAServersFailureIsExplainedByItsCalls(t *testing.T) {
+	g := NewWithT(t)
+	r, err := Find("51df", strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Cause()).To(Equal("the server failed it after calls of its own failed: 51df.01: overloaded"))
+}
+
+func TestARefusalIsExplainedByItsReason(t *testing.T) {
+	g := NewWithT(t)
+	r, err := Find("77aa", strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Cause()).To(Equal(Meaning("cold")))
+	g.Expect(r.Cause()).NotTo(BeEmpty())
+}
+
+func TestNothingIsSaidOfARequestThatTheLogsDoNotName(t *testing.T) {
+	g := NewWithT(t)
+	r, err := Find("ffff", strings.NewReader(logs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Lines).To(BeEmpty())
+	g.Expect(r.Cause()).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/decisions/report.go
@@ -0,0 +1,113 @@
+package decisions
+
+import (
+	"bufio"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds a line; longer ones end the reading with an error. A node's
+// own lines are a few hundred bytes.
+const maxLineBytes = 1 << 20
+
+// Messages that end a request at its entry.
+const (
+	messageRefused = "answered by the node itself"
+	messageFailed  = "the server's own failure passed on"
+	messagePassed  = "answer passed on"
+)
+
+// Report is what logs tell of one request.
+type Report struct {
+	ID string
+	// Lines are about the request itself, in the order of time.
+	Lines []Line
+	// Calls are the lines about calls that servers made while they ran it, by the
+	// id of the call.
+	Calls map[string][]Line
+}
+
+// Find collects the lines about a request from logs. Calls of a server carry the
+// id of the request that they belong to, a dot, and one of their own.
+func Find(id string, logs ...io.Reader) (*Report, error) {
+	r := &Report{ID: id, Calls: map[string][]Line{}}
+	for _, log := range logs {
+		if err := r.read(log); err != nil {
+			return nil, err
+		}
+	}
+	inOrder(r.Lines)
+	for _, lines := range r.Calls {
+		inOrder(lines)
+	}
+	return r, nil
+}
+
+func (r *Report) read(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), r.ID) {
+			continue
+		}
+		line, ok := Parse(scanner.Bytes())
+		switch {
+		case !ok:
+		case line.Request == r.ID:
+			r.Lines = append(r.Lines, line)
+		case strings.HasPrefix(line.Request, r.ID+"."):
+			r.Calls[line.Request] = append(r.Calls[line.Request], line)
+		}
+	}
+	return eris.Wrap(scanner.Err(), "read a log")
+}
+
+func inOrder(lines []Line) {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
+}
+
+// Last returns the line that tells how the request ended for its caller, or nil
+// when no entry logged that: good answers are logged one in a hundred.
+func Last(lines []Line) *Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		switch lines[i].Message {
+		case messageRefused, messageFailed, messagePassed:
+			return &lines[i]
+		}
+	}
+	return nil
+}
+
+// Cause says in words why the request ended as it did, or "" when the logs do not
+// tell. The answer of a server that failed is explained by its calls.
+func (r *Report) Cause() string {
+	last := Last(r.Lines)
+	if last == nil {
+		return ""
+	}
+	if last.Message == messageFailed {
+		return r.failedCalls()
+	}
+	return Meaning(last.Reason)
+}
+
+func (r *Report) failedCalls() string {
+	failed := []string{}
+	for id, lines := range r.Calls {
+		if last := Last(lines); last != nil && last.Message != messagePassed {
+			what := "failed at its server"
+			if last.Reason != "" {
+				what = last.Reason
+			}
+			failed = append(failed, id+": "+what)
+		}
+	}
+	if len(failed) == 0 {
+		return "the server failed it; no call of its own failed as far as the logs tell"
+	}
+	sort.Strings(failed)
+	return "the server failed it after calls of its own failed: " + strings.Join(failed, "; ")
+}
