Take bodies in one after the other over a host's link

The requests that made the lookup kept their slots meanwhile. Ruled out: the gate's queue, the server, processors (0.03 cores used).

A gate now asks for the next body when the last has arrived, or its share of the link is over, so that one that stalls does not keep others back.

--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	budget int64
 	// underWay counts the bytes that are still to arrive, held those in memory.
 	underWay, held atomic.Int64
+	turns          bodyTurns
 }
 
 func newBodyIntake(linkMbps float64, memoryMB int) *bodyIntake {
@@ -41,7 +43,8 @@
 	}
 }
 
-// wait returns the time until what is under way has arrived.
+// wait returns the time until what is under way, or waits for its turn, has
+// arrived.
 func (b *bodyIntake) wait() time.Duration {
 	return b.timeOf(b.underWay.Load())
 }
@@ -54,10 +57,10 @@
 	return time.Duration(float64(n) / float64(b.rate) * float64(time.Second))
 }
 
-// take reads the body of a request, unless it is held already, its length is not
-// known or there is no room; then it is read while the server runs the request.
-// release gives the memory back.
-func (b *bodyIntake) take(r *contract.Request) (release func(), err error) {
+// take reads the body of a request in its turn, unless it is held already, its
+// length is not known or there is no room; then it is read while the server runs
+// the request. release gives the memory back.
+func (b *bodyIntake) take(ctx context.Context, r *contract.Request) (release func(), err error) {
 	nothing := func() {}
 	if r.BodyHeld || r.ContentLength <= 0 || b.held.Add(r.ContentLength) > b.budget {
 		if !r.BodyHeld && r.ContentLength > 0 {
@@ -66,10 +69,17 @@
 		return nothing, nil
 	}
 	release = func() { b.held.Add(-r.ContentLength) }
-	body := make([]byte, r.ContentLength)
 	left := r.ContentLength
 	b.underWay.Add(left)
 	defer func() { b.underWay.Add(-left) }()
+	done, err := b.turns.await(ctx, b.timeOf(left))
+	if err != nil {
+		release()
+		// Proof: the body was not even asked for.
+		return nothing, verdict.New(verdict.NotRun, verdict.ReasonCanceled, err)
+	}
+	defer done()
+	body := make([]byte, r.ContentLength)
 	for at := 0; at < len(body); {
 		n, err := r.Body.Read(body[at:])
 		at += n
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -110,7 +110,7 @@
 			return nil, refusal
 		}
 	}
-	release, err := h.bodies.take(r)
+	release, err := h.bodies.take(ctx, r)
 	if err != nil {
 		return nil, err
 	}
