--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -78,6 +78,38 @@
 	})
 })
 
+var _ = Describe("explain-request", func() {
+	It("prints the lines of a request, its server's calls and the cause", func(ctx SpecContext) {
+		log := filepath.Join(GinkgoT().TempDir(), "node.log")
+		Expect(os.WriteFile(log, []byte(
+			`host-a {"time":"2026-06-20T21:25:14.9Z","part":"entry","request":"51df","status":500,"message":"the server's own failure passed on"}`+"\n"+
+				`host-c {"time":"2026-06-20T21:25:14.8Z","part":"gate","request":"51df.1","reason":"cold","slots":6,"message":"refused"}`+"\n"+
+				`host-a {"time":"2026-06-20T21:25:14.85Z","part":"entry","request":"51df.1","status":503,"reason":"cold","message":"answered by the node itself"}`+"\n",
+		), 0o600)).To(Succeed())
+		got := run(ctx, "explain-request", "51df", log)
+		Expect(got.code).To(Equal(cli.ExitOK), got.err)
+		Expect(got.out).To(Equal("51df\n" +
+			"  21:25:14.900 host-a entry: the server's own failure passed on\n" +
+			"call 51df.1\n" +
+			"  21:25:14.800 host-c gate: refused [cold] slots=6\n" +
+			"  21:25:14.850 host-a entry: answered by the node itself [cold]\n" +
+			"cause: the server failed it after calls of its own failed: 51df.1: cold\n"))
+	})
+
+	It("says with exit code 1 that no line is about an id", func(ctx SpecContext) {
+		got := run(ctx, "explain-request", "77aa")
+		Expect(got.code).To(Equal(cli.ExitNo))
+		Expect(got.out).To(HavePrefix("✗ no line is about 77aa"))
+	})
+
+	It("asks for the id, and names a file that is not there", func(ctx SpecContext) {
+		Expect(run(ctx, "explain-request").code).To(Equal(cli.ExitUsage))
+		got := run(ctx, "explain-request", "77aa", filepath.Join(GinkgoT().TempDir(), "none.log"))
+		Expect(got.code).To(Equal(cli.ExitUsage))
+		Expect(got.err).To(ContainSubstring("none.log"))
+	})
+})
+
 var _ = Describe("merge", func() {
 	It("prints a file that means the same as the folder", func(ctx SpecContext) {
 		for _, flags := range [][]string{nil, {"--defaults"}} {
--- a/internal/cli/explainrequest.go
+++ b/internal/cli/explainrequest.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -82,7 +84,8 @@
 	printLine(streams.Out, "%s", title)
 	for i := range lines {
 		l := &lines[i]
-		printLine(streams.Out, "  %s %s %s: %s%s %s", l.At.Format(time.TimeOnly+".000"), l.Source, l.Part, l.Message, inBrackets(l.Reason), l.Rest())
+		text := fmt.Sprintf("  %s %s %s: %s%s %s", l.At.Format(time.TimeOnly+".000"), l.Source, l.Part, l.Message, inBrackets(l.Reason), l.Rest())
+		printLine(streams.Out, "%s", strings.TrimRight(text, " "))
 	}
 }
 
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -1,6 +1,7 @@
 package decisions
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -52,3 +53,12 @@
 	g.Expect(r.Lines).To(BeEmpty())
 	g.Expect(r.Cause()).To(BeEmpty())
 }
+
+func TestThePageForOperatorsListsEveryReason(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for reason := range meanings {
+		g.Expect(string(page)).To(ContainSubstring("| `" + reason.String() + "` |"))
+	}
+}
