Read as a newcomer: one job a test file, one copy of the messages, sources of lines

- Entry and explain-request had the closing messages twice; a change of one would have left the other silent. decisions holds them.
- explain-request dropped the status, and the file's name for lines without a prefix.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -89,10 +89,10 @@
 		got := run(ctx, "explain-request", "51df", log)
 		Expect(got.code).To(Equal(cli.ExitOK), got.err)
 		Expect(got.out).To(Equal("51df\n" +
-			"  21:25:14.900 host-a entry: the server's own failure passed on\n" +
+			"  21:25:14.900 host-a entry: the server's own failure passed on status=500\n" +
 			"call 51df.1\n" +
 			"  21:25:14.800 host-c gate: refused [cold] slots=6\n" +
-			"  21:25:14.850 host-a entry: answered by the node itself [cold]\n" +
+			"  21:25:14.850 host-a entry: answered by the node itself [cold] status=503\n" +
 			"cause: the server failed it after calls of its own failed: 51df.1: cold\n"))
 	})
 
--- a/internal/cli/explainrequest.go
+++ b/internal/cli/explainrequest.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"sort"
 	"strings"
@@ -38,21 +37,21 @@
 
 func findRequest(streams Streams, id string, names []string) (*decisions.Report, error) {
 	if len(names) == 0 {
-		return findIn(id, streams.In)
+		return findIn(id, decisions.Log{Reader: streams.In})
 	}
-	logs := make([]io.Reader, 0, len(names))
+	logs := make([]decisions.Log, 0, len(names))
 	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
 			return nil, Usage("%s", err)
 		}
 		defer func() { _ = file.Close() }() // it was only read
-		logs = append(logs, file)
+		logs = append(logs, decisions.Log{Name: name, Reader: file})
 	}
 	return findIn(id, logs...)
 }
 
-func findIn(id string, logs ...io.Reader) (*decisions.Report, error) {
+func findIn(id string, logs ...decisions.Log) (*decisions.Report, error) {
 	report, err := decisions.Find(id, logs...)
 	if err != nil {
 		return nil, Usage("%s", err)
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -20,7 +20,7 @@
 
 func TestTheLinesOfEntryAndGateJoinByTheIDAndCallsByTheirParents(t *testing.T) {
 	g := NewWithT(t)
-	r, err := Find("51df", strings.NewReader(logs))
+	r, err := Find("51df", Log{Reader: strings.NewReader(logs)})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Lines).To(HaveLen(1))
 	g.Expect(r.Calls).To(HaveLen(2))
@@ -33,14 +33,14 @@
 
 func TestAServersFailureIsExplainedByItsCalls(t *testing.T) {
 	g := NewWithT(t)
-	r, err := Find("51df", strings.NewReader(logs))
+	r, err := Find("51df", Log{Reader: strings.NewReader(logs)})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Cause()).To(Equal("the server failed it after calls of its own failed: 51df.01: overloaded"))
 }
 
 func TestARefusalIsExplainedByItsReason(t *testing.T) {
 	g := NewWithT(t)
-	r, err := Find("77aa", strings.NewReader(logs))
+	r, err := Find("77aa", Log{Reader: strings.NewReader(logs)})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Cause()).To(Equal(Meaning("cold")))
 	g.Expect(r.Cause()).NotTo(BeEmpty())
@@ -48,7 +48,7 @@
 
 func TestNothingIsSaidOfARequestThatTheLogsDoNotName(t *testing.T) {
 	g := NewWithT(t)
-	r, err := Find("ffff", strings.NewReader(logs))
+	r, err := Find("ffff", Log{Reader: strings.NewReader(logs)})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Lines).To(BeEmpty())
 	g.Expect(r.Cause()).To(BeEmpty())
@@ -62,3 +62,12 @@
 		g.Expect(string(page)).To(ContainSubstring("| `" + reason.String() + "` |"))
 	}
 }
+
+func TestALineWithoutAPrefixIsNamedByItsLog(t *testing.T) {
+	g := NewWithT(t)
+	line := `{"time":"2026-06-20T21:25:15Z","part":"entry","request":"77aa","status":503,"message":"answered by the node itself"}`
+	r, err := Find("77aa", Log{Name: "host-a.log", Reader: strings.NewReader(line)})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Lines[0].Source).To(Equal("host-a.log"))
+	g.Expect(r.Lines[0].Rest()).To(Equal("status=503"))
+}
--- a/internal/decisions/line.go
+++ b/internal/decisions/line.go
@@ -25,8 +25,6 @@
 	Message string
 	// Reason is the typed cause, where there is one.
 	Reason string
-	// Status is the HTTP status that the caller got, where the line tells one.
-	Status int
 	// Fields holds everything else, in JSON.
 	Fields map[string]json.RawMessage
 }
@@ -49,7 +47,6 @@
 	l.take("request", &l.Request)
 	l.take("message", &l.Message)
 	l.take("reason", &l.Reason)
-	l.take("status", &l.Status)
 	delete(fields, "level")
 	return l, l.Message != ""
 }
--- a/internal/decisions/report.go
+++ b/internal/decisions/report.go
@@ -13,17 +13,25 @@
 // own lines are a few hundred bytes.
 const maxLineBytes = 1 << 20
 
-// Messages that end a request at its entry.
+// Messages with which an entry ends a request.
 const (
-	messageRefused = "answered by the node itself"
-	messageFailed  = "the server's own failure passed on"
-	messagePassed  = "answer passed on"
+	MessageRefused = "answered by the node itself"
+	MessageFailed  = "the server's own failure passed on"
+	MessagePassed  = "answer passed on"
 )
 
+// Log is the output of one node, or of several with a prefix on each line.
+type Log struct {
+	// Name is the source of lines without a prefix.
+	Name string
+	io.Reader
+}
+
 // Report is what logs tell of one request.
 type Report struct {
 	ID string
-	// Lines are about the request itself, in the order of time.
+	// Lines are about the request itself, by their hosts' times of day, which may
+	// differ or jump: the order of two hosts' lines is a hint.
 	Lines []Line
 	// Calls are the lines about calls that servers made while they ran it, by the
 	// id of the call.
@@ -32,7 +40,7 @@
 
 // Find collects the lines about a request from logs. Calls of a server carry the
 // id of the request that they belong to, a dot, and one of their own.
-func Find(id string, logs ...io.Reader) (*Report, error) {
+func Find(id string, logs ...Log) (*Report, error) {
 	r := &Report{ID: id, Calls: map[string][]Line{}}
 	for _, log := range logs {
 		if err := r.read(log); err != nil {
@@ -46,7 +54,7 @@
 	return r, nil
 }
 
-func (r *Report) read(log io.Reader) error {
+func (r *Report) read(log Log) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -54,6 +62,9 @@
 			continue
 		}
 		line, ok := Parse(scanner.Bytes())
+		if line.Source == "" {
+			line.Source = log.Name
+		}
 		switch {
 		case !ok:
 		case line.Request == r.ID:
@@ -74,7 +85,7 @@
 func Last(lines []Line) *Line {
 	for i := len(lines) - 1; i >= 0; i-- {
 		switch lines[i].Message {
-		case messageRefused, messageFailed, messagePassed:
+		case MessageRefused, MessageFailed, MessagePassed:
 			return &lines[i]
 		}
 	}
@@ -88,7 +99,7 @@
 	if last == nil {
 		return ""
 	}
-	if last.Message == messageFailed {
+	if last.Message == MessageFailed {
 		return r.failedCalls()
 	}
 	return Meaning(last.Reason)
@@ -97,7 +108,7 @@
 func (r *Report) failedCalls() string {
 	failed := []string{}
 	for id, lines := range r.Calls {
-		if last := Last(lines); last != nil && last.Message != messagePassed {
+		if last := Last(lines); last != nil && last.Message != MessagePassed {
 			what := "failed at its server"
 			if last.Reason != "" {
 				what = last.Reason
--- /dev/null
+++ b/internal/gate/poison_test.go
@@ -0,0 +1,258 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/verdict"
+)
+
+// fakeServer crashes with all that it runs while it runs the poison.
+type fakeServer struct {
+	mu      sync.Mutex
+	poison  uint64
+	crashed chan struct{}
+	crashes int
+	ran     int
+}
+
+func (s *fakeServer) run(fp uint64) Outcome {
+	s.mu.Lock()
+	s.ran++
+	crashed, boot := s.crashed, fmt.Sprint("boot-", s.crashes+1)
+	s.mu.Unlock()
+	select {
+	case <-crashed:
+		return Outcome{Kind: OutcomeCrashed}
+	case <-time.After(testLatency):
+	}
+	if fp != s.poison {
+		return Outcome{Kind: OutcomeGood, Latency: testLatency, BootID: boot}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.crashed)
+	s.crashed = make(chan struct{})
+	s.crashes++
+	return Outcome{Kind: OutcomeCrashed}
+}
+
+func TestPoisonRequestWithBystanders(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		server := &fakeServer{poison: 1, crashed: make(chan struct{})}
+		end := time.Now().Add(5 * time.Second)
+		var callers sync.WaitGroup
+		// Each caller re-sends its one request at once, whatever the answer.
+		for fp := range uint64(2 * testSlots) {
+			callers.Go(func() {
+				for time.Now().Before(end) {
+					p, err := g.Admit(context.Background(), Request{Caller: fmt.Sprint(fp), Fingerprint: fp, Idempotent: fp%2 == 0})
+					if err != nil {
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					p.Done(server.run(fp))
+				}
+			})
+		}
+		callers.Wait()
+		Expect(server.crashes).To(Equal(crashesToConvict))
+		Expect(g.Quarantine()).To(ConsistOf(server.poison))
+		Expect(g.Suspects()).To(BeEmpty(), "bystanders are cleared")
+		Expect(server.ran).To(BeNumerically(">", 3000))
+		_, err := admitNow(g, Request{Fingerprint: server.poison})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+		time.Sleep(defaultQuarantineFor)
+		Expect(g.Quarantine()).To(BeEmpty())
+	})
+}
+
+func TestBystanderOutlivesOneCrashAndMeetsAnother(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		bystander, err := admitNow(g, Request{Fingerprint: 1})
+		Expect(err).NotTo(HaveOccurred())
+		for fp := range uint64(3) {
+			p, err := admitNow(g, Request{Fingerprint: 10 + fp})
+			Expect(err).NotTo(HaveOccurred())
+			p.Done(Outcome{Kind: OutcomeCrashed})
+			time.Sleep(2 * crashWindow)
+		}
+		Expect(g.Quarantine()).To(BeEmpty())
+		bystander.Done(good())
+		Expect(g.Suspects()).To(ConsistOf(uint64(10), uint64(11), uint64(12)))
+	})
+}
+
+func TestPoisonRequestWhoseCallerGaveUp(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const poison, bystander = 1, 2
+		p, err := admitNow(g, Request{Fingerprint: poison})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCanceled})
+		beside, err := admitNow(g, Request{Fingerprint: bystander})
+		Expect(err).NotTo(HaveOccurred())
+		beside.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(g.Suspects()).To(ConsistOf(uint64(poison), uint64(bystander)))
+	})
+}
+
+// When all servers of a service turn cold without a word, a request that many
+// callers send passes through two crashes of which it is not the cause, and a
+// third gate hears of it by the request itself. That gate must not refuse the
+// same request of all callers for as long as one that it saw crash its server.
+func TestPopularRequestThatMetTwoCrashesElsewhere(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const popular = 7
+		_, err := admitNow(g, Request{Fingerprint: popular, Idempotent: true, Crashes: crashesToConvict})
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonQuarantined))
+		_, err = admitNow(g, Request{Fingerprint: popular, Idempotent: true})
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonQuarantined))
+		time.Sleep(10 * time.Second) // a caller's outage, far below QuarantineFor
+		p, err := admitNow(g, Request{Fingerprint: popular, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(good())
+		Expect(g.Suspects()).To(BeEmpty())
+	})
+}
+
+func TestPoisonRequestAcrossServersOfOneService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		gates := []*Gate{New(testConfig(), nil), New(testConfig(), nil), New(testConfig(), nil), New(testConfig(), nil)}
+		crashes := 0
+		for _, g := range gates {
+			p, err := admitNow(g, Request{Fingerprint: 7, Idempotent: true, Crashes: crashes})
+			if err != nil {
+				Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+				continue
+			}
+			p.Done(Outcome{Kind: OutcomeCrashed})
+			crashes++
+		}
+		Expect(crashes).To(Equal(2))
+		fresh := New(testConfig(), nil)
+		for _, fp := range gates[1].Quarantine() {
+			fresh.Convict(fp, time.Now())
+		}
+		_, err := admitNow(fresh, Request{Fingerprint: 7})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+		Expect(fresh.Quarantine()).To(BeEmpty(), "what was heard is not told on")
+	})
+}
+
+func TestCrashIsToldToTheOtherGates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		first, second := New(testConfig(), nil), New(testConfig(), nil)
+		p, err := admitNow(first, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(first.Crashes()).To(Receive())
+		for _, fp := range first.Suspects() {
+			second.Suspect(fp, time.Now())
+		}
+		p, err = admitNow(second, Request{Fingerprint: 7, Idempotent: true})
+		Expect(err).NotTo(HaveOccurred())
+		p.Done(Outcome{Kind: OutcomeCrashed})
+		Expect(second.Crashes()).To(Receive())
+		Expect(second.Quarantine()).To(ConsistOf(uint64(7)), "two crashes in the service, one at each gate")
+		for _, fp := range second.Quarantine() {
+			first.Convict(fp, time.Now())
+		}
+		_, err = admitNow(first, Request{Fingerprint: 7})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined))
+	})
+}
+
+func TestSuspectDoesNotStarveOthers(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const suspectFP, busy, span = 5, 9, 20 * time.Second
+		g.Suspect(suspectFP, time.Now())
+		end := time.Now().Add(span)
+		var ran atomic.Int64
+		held := time.Duration(0)
+		for range busy {
+			go func() {
+				for time.Now().Before(end) {
+					if p, err := g.Admit(context.Background(), Request{Caller: "crew"}); err == nil {
+						time.Sleep(testLatency)
+						p.Done(good())
+						ran.Add(1)
+					}
+				}
+			}()
+		}
+		for time.Now().Before(end) {
+			g.Suspect(suspectFP, time.Now())
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			p, err := g.Admit(ctx, Request{Caller: "bad", Fingerprint: suspectFP})
+			cancel()
+			if err != nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			Expect(g.Load().Running).To(BeNumerically("<=", 2), "a suspect starts as if cold")
+			time.Sleep(500 * time.Millisecond)
+			p.Done(Outcome{Kind: OutcomeCanceled})
+			held += 500 * time.Millisecond
+		}
+		time.Sleep(time.Second)
+		Expect(held).To(BeNumerically(">", span/8), "the suspect gets its turns")
+		Expect(ran.Load()).To(BeNumerically(">", int(busy*span/testLatency)*7/10))
+	})
+}
+
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		g.Suspect(1, time.Now())
+		g.Suspect(2, time.Now())
+		first, err := admitNow(g, Request{Fingerprint: 1})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = admitNow(g, Request{Fingerprint: 1})
+		Expect(reasonOf(err)).To(Equal(verdict.ReasonQuarantined), "a copy of a running suspect")
+		for range 10 {
+			time.Sleep(defaultSuspectAlone)
+			_, err = admitNow(g, Request{Fingerprint: 2})
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(fillSlots(g)).To(HaveLen(testSlots-1), "others run beside it after its time alone")
+		first.Done(good())
+		Expect(g.Suspects()).To(ConsistOf(uint64(2)))
+	})
+}
+
+func TestWaitingCopiesOfAPoisonRequest(t *testing.T) {
+	warmGate(t, func(g *Gate) {
+		const poison, copies = 1, 6
+		running := fillSlots(g)[1:]
+		ended := make(chan error)
+		for range copies {
+			go func() {
+				p, err := g.Admit(context.Background(), Request{Fingerprint: poison, Idempotent: true})
+				if err == nil {
+					p.Done(Outcome{Kind: OutcomeCrashed})
+				}
+				ended <- err
+			}()
+		}
+		synctest.Wait()
+		g.Suspect(poison, time.Now())
+		for _, p := range running {
+			p.Done(good())
+		}
+		ran := 0
+		for range copies {
+			if <-ended == nil {
+				ran++
+			}
+		}
+		Expect(ran).To(Equal(1), "the second crash is its last")
+	})
+}
--- a/internal/sidecar/bodyturns.go
+++ b/internal/sidecar/bodyturns.go
@@ -11,7 +11,8 @@
 // parts of each of them.
 //
 // A body that comes slower than the link permits, since its sender's link is
-// narrower or stalls, keeps the others back no longer than its share of the link.
+// narrower or stalls, keeps the others back no longer than its share of the link. So the wait is at
+// most what the gate foresaw, also when one sender after the other stalls.
 type bodyTurns struct {
 	mu sync.Mutex
 	// arriving counts the bodies whose turn it is.
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -17,6 +17,7 @@
 
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/decisions"
 	"boragefall/internal/intake"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
@@ -189,10 +190,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.entry.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
-	message := "answer passed on"
+	message := decisions.MessagePassed
 	switch {
 	case a.Status >= http.StatusInternalServerError:
-		message = "the server's own failure passed on"
+		message = decisions.MessageFailed
 	case x.entry.answers.Add(1)%sampledAnswers != 0:
 		return
 	}
@@ -225,7 +226,7 @@
 		Str("service", x.request.Service).Int("status", status).Str("verdict", e.Verdict.String()).
 		Str("reason", e.Reason.String()).AnErr("cause", e.Cause).Dur("retry_after", e.RetryAfter).
 		Dur("took", time.Since(x.started)).Uint64("config", version).Uint64("revision", view.Revision).
-		Msg("answered by the node itself")
+		Msg(decisions.MessageRefused)
 	x.c.Status(status)
 	x.c.Writer.WriteHeaderNow()
 }
