--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -74,6 +74,10 @@
 	// of changes costs few calls. Default 350 ms; it delays every change, of
 	// which the strictest must be in force within 2 s.
 	Gather time.Duration
+	// StartGather is that pause within StartFor of the start. Defaults 1 s and 2 s:
+	// when all nodes start, servers register one by one, and until the first of a
+	// data centre has, each of its nodes reads the store itself.
+	StartGather, StartFor time.Duration
 	// CrowdedBytes is the size of the events of one watch beyond which lists take
 	// the place of watches until nothing new comes. Default 256 KiB, a fifth of a
 	// second on a link of 10 Mbit/s.
@@ -103,6 +107,8 @@
 	defaultDirectFor    = 2 * time.Second
 	defaultAvoidLeader  = 10 * time.Second
 	defaultGather       = 350 * time.Millisecond
+	defaultStartGather  = time.Second
+	defaultStartFor     = 2 * time.Second
 	defaultRetryBase    = 100 * time.Millisecond
 	defaultRetryMax     = 800 * time.Millisecond
 	defaultPeerInterval = 400 * time.Millisecond
@@ -120,6 +126,8 @@
 	fill(&c.DirectFor, defaultDirectFor)
 	fill(&c.AvoidLeader, defaultAvoidLeader)
 	fill(&c.Gather, defaultGather)
+	fill(&c.StartGather, defaultStartGather)
+	fill(&c.StartFor, defaultStartFor)
 	fill(&c.RetryBase, defaultRetryBase)
 	fill(&c.RetryMax, defaultRetryMax)
 	fill(&c.PeerInterval, defaultPeerInterval)
@@ -171,6 +179,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	pause := f.cfg.RetryBase
 	var directUntil time.Time
+	started := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
 		if leader, ok := f.peers.Leader(now); ok && f.listed && !f.lost.Load() && !now.Before(directUntil) {
@@ -185,7 +194,7 @@
 		case err == nil:
 			pause = f.cfg.RetryBase
 			if changed {
-				f.sleep(ctx, f.cfg.Gather)
+				f.sleep(ctx, f.gather(now.Sub(started)))
 			}
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("history gone, listing anew")
@@ -200,6 +209,14 @@
 	}
 }
 
+// gather returns the pause after events at a time since the start.
+func (f *Feed) gather(running time.Duration) time.Duration {
+	if running < f.cfg.StartFor {
+		return f.cfg.StartGather
+	}
+	return f.cfg.Gather
+}
+
 // follow asks the leader once. It reports false when this node is to read the
 // store itself.
 func (f *Feed) follow(ctx context.Context, leader string) bool {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -338,3 +338,23 @@
 		wantRevision(t, c, 1)
 	})
 }
+
+// All nodes start at once, and the servers beside them register one after the
+// other: fleetbench counted 279 calls of 69 nodes in the first two seconds.
+func TestServersThatRegisterOneByOneAtTheStartCostFewCalls(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	run(t, store, &fakePeers{}, func(c *catalog.Catalog) {
+		const servers, apart = 14, 100 * time.Millisecond
+		for revision := uint64(2); revision < 2+servers; revision++ {
+			time.Sleep(apart)
+			store.put(revision)
+		}
+		time.Sleep(time.Second)
+		wantRevision(t, c, 1+servers)
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if calls := store.lists + store.watches; calls > 5 {
+			t.Errorf("%d calls", calls)
+		}
+	})
+}
