Read a configuration route by route; downloads are a kind of their own

Its routes have a kind that the decoder did not know, and one route that can't be read cost the whole configuration.

An unknown kind is taken as one that runs at most once, a route, service or limits that can't be read are left out, and each is named in one log line and counted by config_defects.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,6 +22,10 @@
 // changed; beyond it they get everything.
 const maxDeletions = 256
 
+// maxLoggedDefects bounds the log lines about one configuration; its first line
+// counts all defects.
+const maxLoggedDefects = 16
+
 // Catalog applies items of the store. It is safe for concurrent use.
 type Catalog struct {
 	decoder Decoder
@@ -271,7 +275,11 @@
 	}
 	c.config, c.table = config, mesh.NewTable(config)
 	c.logger.Info().Str("part", "catalog").Uint64("version", config.Version).Uint64("revision", revision).
-		Int("routes", len(config.Routes)).Msg("configuration in force")
+		Int("routes", len(config.Routes)).Int("defects", len(config.Defects)).Msg("configuration in force")
+	for _, defect := range config.Defects[:min(len(config.Defects), maxLoggedDefects)] {
+		c.logger.Warn().Str("part", "catalog").Uint64("version", config.Version).Str("name", defect.Name).
+			Str("problem", defect.Problem).Msg("part of the configuration not understood")
+	}
 }
 
 func (c *Catalog) applyServer(record Record, item Item, malformed bool, now time.Time) {
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -16,11 +16,13 @@
 	KindUpload
 	// KindSafe requests may run more than once.
 	KindSafe
+	// KindDownload requests may run more than once and have large answers.
+	KindDownload
 )
 
 // Idempotent reports whether a request of the kind may run more than once.
 func (k Kind) Idempotent() bool {
-	return k == KindSafe
+	return k == KindSafe || k == KindDownload
 }
 
 // Share is one part of a route that is split between services.
@@ -89,4 +91,16 @@
 	Services map[string]Service
 	// Limits bound what callers may send.
 	Limits Limits
+	// Defects are the parts that were not understood. They affect only the route or
+	// service that they name.
+	Defects []Defect
+}
+
+// Defect is a part of a configuration that was left out or taken with a stricter
+// meaning than it may have.
+type Defect struct {
+	// Name is that of the route or service; empty when it can't be read either.
+	Name string
+	// Problem says what was not understood and what was done about it.
+	Problem string
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -146,6 +146,12 @@
 		}
 		return 0
 	})
+	m.Gauge("config_defects", "Parts of the configuration in force that were not understood.", func() float64 {
+		if view := c.View(); view.Config != nil {
+			return float64(len(view.Config.Defects))
+		}
+		return 0
+	})
 	m.Gauge("store_revision", "Newest revision of the store that was applied.", func() float64 {
 		return float64(c.View().Revision)
 	})
