Read the store at two nodes of the fleet and copy from there

One node of each 16 in each data centre watched the store, each node listed it at its start (five pages at this size), and a follower whose leader failed read it for two seconds.

Now two nodes of the whole fleet read it, relays in each data centre follow those, all others follow a relay (internal/copytree). A node that starts asks the seeds first, and one that finds no young copy reads the store once. Bounds stay: a copy is left at 1.25 s (1.5 s behind a relay), so a change is in force within 1.8 s whoever fails.

--- /dev/null
+++ b/internal/copytree/ranking_test.go
@@ -0,0 +1,122 @@
+package copytree_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"boragefall/internal/copytree"
+)
+
+// fleet returns members spread over data centres.
+func fleet(size, dataCentres int) []copytree.Member {
+	members := make([]copytree.Member, size)
+	for i := range members {
+		members[i] = copytree.Member{Address: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), DataCentre: fmt.Sprint("dc", i%dataCentres)}
+	}
+	return members
+}
+
+func all(string) bool { return true }
+
+// Every copy is at most three steps from the store, whoever is not usable, and no
+// node follows itself or one that is not usable.
+func TestEveryCopyIsNearTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(1, 300).Draw(t, "nodes"), rapid.IntRange(1, 6).Draw(t, "data centres"))
+		down := map[string]bool{}
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(members)-1), 0, len(members)/2).Draw(t, "down") {
+			down[members[i].Address] = true
+		}
+		usable := func(address string) bool { return !down[address] }
+		ranking := copytree.NewRanking(members)
+		reading := 0
+		for _, m := range members {
+			if down[m.Address] {
+				continue
+			}
+			upstream, ok := ranking.Upstream(m, usable)
+			if !ok {
+				reading++
+				continue
+			}
+			steps := 0
+			for at := upstream.Address; ok; steps++ {
+				if at == m.Address || down[at] {
+					t.Fatalf("%s follows %s", m.Address, at)
+				}
+				var next copytree.Upstream
+				next, ok = ranking.Upstream(memberAt(members, at), usable)
+				at = next.Address
+			}
+			if steps > upstream.Hops {
+				t.Fatalf("%s is %d steps from the store and says %d", m.Address, steps, upstream.Hops)
+			}
+		}
+		if reading > 2 {
+			t.Fatalf("%d nodes read the store", reading)
+		}
+	})
+}
+
+func memberAt(members []copytree.Member, address string) copytree.Member {
+	for _, m := range members {
+		if m.Address == address {
+			return m
+		}
+	}
+	panic("no member at " + address)
+}
+
+// A relay's link may have 10 Mbit/s and its host a sixth of a core.
+func TestNoNodeHasManyFollowers(t *testing.T) {
+	for _, size := range []int{14, 68, 194, 1839} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			g := NewWithT(t)
+			members := fleet(size, 6)
+			ranking := copytree.NewRanking(members)
+			followers := map[string]int{}
+			for _, m := range members {
+				if upstream, ok := ranking.Upstream(m, all); ok {
+					followers[upstream.Address]++
+				}
+			}
+			for _, m := range members {
+				if _, ok := ranking.Upstream(m, all); ok {
+					// Twice the share: hashes don't spread evenly.
+					g.Expect(followers[m.Address]).To(BeNumerically("<=", 2*16))
+				}
+			}
+		})
+	}
+}
+
+func TestReadersStandInDifferentDataCentres(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(2, 100).Draw(t, "nodes"), rapid.IntRange(2, 6).Draw(t, "data centres"))
+		ranking := copytree.NewRanking(members)
+		places := map[string]int{}
+		for _, m := range members {
+			if _, ok := ranking.Upstream(m, all); !ok {
+				places[m.DataCentre]++
+			}
+		}
+		if len(places) != 2 {
+			t.Fatalf("readers by data centre: %v", places)
+		}
+	})
+}
+
+func TestANodeThatIsNotUsableFollowsAnother(t *testing.T) {
+	g := NewWithT(t)
+	members := fleet(3, 1)
+	ranking := copytree.NewRanking(members)
+	for _, m := range members {
+		_, ok := ranking.Upstream(m, func(address string) bool { return address != m.Address })
+		g.Expect(ok).To(BeTrue())
+		_, ok = ranking.Upstream(m, func(string) bool { return false })
+		g.Expect(ok).To(BeFalse())
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,6 +1,6 @@
-// Package feed keeps a node's catalog up to date. A few nodes of each data
-// centre list and watch the store; the others follow their copy, and read the
-// store themselves when that copy gets old. While the store does not answer, a
+// Package feed keeps a node's catalog up to date. A few nodes of the fleet list and
+// watch the store; the others follow a copy of theirs, and read the store themselves
+// when no copy that they find is young enough. While the store does not answer, a
 // node asks any other.
 package feed
 
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"boragefall/internal/catalog"
+	"boragefall/internal/copytree"
 )
 
 // ErrHistoryGone reports that the store no longer holds the events after the
@@ -43,15 +44,17 @@
 
 // Peers are the other nodes' copies of the store.
 type Peers interface {
-	// Leader returns the node whose copy this one follows, and false when this
+	// Upstream returns the node whose copy this one follows, and false when this
 	// node is to read the store itself.
-	Leader(now time.Time) (address string, ok bool)
-	// Avoid keeps a node from being the leader until a time.
+	Upstream(now time.Time) (copytree.Upstream, bool)
+	// Avoid keeps a node from being followed until a time.
 	Avoid(address string, until time.Time)
+	// Forgive takes all of that back.
+	Forgive()
 	// Follow asks a node for what it knows beyond a revision, as soon as there is
 	// something or the wait is over.
 	Follow(ctx context.Context, address string, revision uint64, wait time.Duration) (State, error)
-	// Query asks any node at once.
+	// Query asks any node at once, now the usual upstream and now another.
 	Query(ctx context.Context, revision uint64) (State, error)
 }
 
@@ -61,15 +64,26 @@
 	// watch shows followers that the store still answers their leader, and that
 	// the watch did not go deaf when the store forgot its history.
 	Wait time.Duration
-	// FollowWait is how long a leader waits for something newer. Default 500 ms.
-	FollowWait time.Duration
-	// MaxAge is the age of a leader's copy at which a follower reads the store
-	// itself. Default 1250 ms: Wait, Gather and a slow store's answer. Together
-	// with FollowWait it stays below the strictest bound of a change, 2 s.
-	MaxAge time.Duration
-	// DirectFor is how long a follower whose leader failed reads the store, and
-	// AvoidLeader how long it passes over that leader. Defaults 2 s and 10 s.
-	DirectFor, AvoidLeader time.Duration
+	// FollowWait is how long a followed node waits for something newer, and
+	// MinFollowWait the least of that when its copy is about to get too old. Defaults
+	// 500 ms and 100 ms.
+	FollowWait, MinFollowWait time.Duration
+	// MaxAge is the age of a reader's copy at which it is followed no longer, and
+	// AgePerHop what a relay's may have beyond that: a relay finds another reader
+	// first. Defaults 1250 ms, which are Wait, Gather and a slow store's answer, and
+	// 250 ms. With MinFollowWait and PeerTimeout they stay below the strictest bound
+	// of a change, 2 s.
+	MaxAge, AgePerHop time.Duration
+	// AvoidFor is how long a node passes over one that did not answer or whose copy was
+	// too old. Default 10 s: a host that is cut off stays so for seconds.
+	AvoidFor time.Duration
+	// Upstreams is the number of copies that are tried before the store is read
+	// directly, once. Default 2.
+	Upstreams int
+	// SeekFor is how long a node that has just started asks others for their copy
+	// before it reads the store. Default 1500 ms: all hosts start within 300 ms, and
+	// a reader's first list takes about as long.
+	SeekFor time.Duration
 	// Gather is the pause after events before the next watch, so that a burst
 	// of changes costs few calls. Default 350 ms; it delays every change, of
 	// which the strictest must be in force within 2 s.
@@ -88,14 +102,18 @@
 	// PeerInterval is the time between queries of peers while the store does
 	// not answer. Default 400 ms.
 	PeerInterval time.Duration
-	// PeerTimeout bounds one query of a peer. Default 500 ms.
+	// PeerTimeout bounds one query of a peer beyond its wait. Default 400 ms.
 	PeerTimeout time.Duration
+	// DirectRetry is the longest pause after a failed call of a node that is to follow
+	// another. Default 4 s: readers notice the return of the store for all.
+	DirectRetry time.Duration
 	// TickInterval is how often suspect servers are looked at. Default 250 ms.
 	TickInterval time.Duration
 }
 
-// probeWait is the wait of a watch after a failed call. It returns at once, so
-// that a store that is silent costs no more than a call's own timeout.
+// probeWait is the wait of a watch after a failed call, and of one that only renews
+// the copy of a node that is to follow others. It returns at once, so that a store
+// that is silent costs no more than a call's own timeout.
 const probeWait = time.Millisecond
 
 const defaultCrowdedBytes = 256 << 10
@@ -103,16 +121,20 @@
 const (
 	defaultWait         = 600 * time.Millisecond
 	defaultFollowWait   = 500 * time.Millisecond
+	defaultMinFollow    = 100 * time.Millisecond
 	defaultMaxAge       = 1250 * time.Millisecond
-	defaultDirectFor    = 2 * time.Second
-	defaultAvoidLeader  = 10 * time.Second
+	defaultAgePerHop    = 250 * time.Millisecond
+	defaultUpstreams    = 2
+	defaultSeekFor      = 1500 * time.Millisecond
+	defaultDirectRetry  = 4 * time.Second
+	defaultAvoidFor     = 10 * time.Second
 	defaultGather       = 350 * time.Millisecond
 	defaultStartGather  = time.Second
 	defaultStartFor     = 2 * time.Second
 	defaultRetryBase    = 100 * time.Millisecond
 	defaultRetryMax     = 800 * time.Millisecond
 	defaultPeerInterval = 400 * time.Millisecond
-	defaultPeerTimeout  = 500 * time.Millisecond
+	defaultPeerTimeout  = 400 * time.Millisecond
 	defaultTickInterval = 250 * time.Millisecond
 )
 
@@ -120,11 +142,17 @@
 	if c.CrowdedBytes <= 0 {
 		c.CrowdedBytes = defaultCrowdedBytes
 	}
+	if c.Upstreams <= 0 {
+		c.Upstreams = defaultUpstreams
+	}
 	fill(&c.Wait, defaultWait)
 	fill(&c.FollowWait, defaultFollowWait)
+	fill(&c.MinFollowWait, defaultMinFollow)
 	fill(&c.MaxAge, defaultMaxAge)
-	fill(&c.DirectFor, defaultDirectFor)
-	fill(&c.AvoidLeader, defaultAvoidLeader)
+	fill(&c.AgePerHop, defaultAgePerHop)
+	fill(&c.SeekFor, defaultSeekFor)
+	fill(&c.DirectRetry, defaultDirectRetry)
+	fill(&c.AvoidFor, defaultAvoidFor)
 	fill(&c.Gather, defaultGather)
 	fill(&c.StartGather, defaultStartGather)
 	fill(&c.StartFor, defaultStartFor)
@@ -155,14 +183,20 @@
 	catalog *catalog.Catalog
 	meter   Meter
 	logger  *log.Logger
-	// lost reports that the last call of the store failed.
+	// failing reports that this node's last call of the store failed and that it
+	// follows no other since.
+	failing atomic.Bool
+	// lost reports that no young copy was found since that call either.
 	lost atomic.Bool
 	// currentAt is when the catalog was last known to be current. It holds the
 	// steady clock's reading as well: the time of day may jump.
 	currentAt atomic.Pointer[time.Time]
-	// listed reports that the catalog may be watched from its revision; only Run
-	// touches it, and crowded.
-	listed bool
+	// complete reports that the catalog holds all items of its revision, so that it
+	// may be watched or followed from there.
+	complete atomic.Bool
+	// relist reports that the store must be listed before it is watched again. Only
+	// Run touches it, and what follows.
+	relist bool
 	// crowded reports that the last events were large: a watch brings every
 	// version of a key, a list only the last.
 	crowded bool
@@ -175,40 +209,64 @@
 	return f
 }
 
-// Run reads until the context ends.
+// Run follows or reads until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	pause := f.cfg.RetryBase
-	var directUntil time.Time
 	started := time.Now()
+	pause := f.cfg.RetryBase
+	failures := 0 // upstreams that failed one after the other
 	for ctx.Err() == nil {
 		now := time.Now()
-		if leader, ok := f.peers.Leader(now); ok && f.listed && !f.lost.Load() && !now.Before(directUntil) {
-			if !f.follow(ctx, leader) {
-				f.peers.Avoid(leader, now.Add(f.cfg.AvoidLeader))
-				directUntil = now.Add(f.cfg.DirectFor)
+		upstream, ok := f.peers.Upstream(now)
+		if ok && failures < f.cfg.Upstreams && f.mayFollow(now.Sub(started)) {
+			if f.follow(ctx, upstream) {
+				failures = 0
+				continue
+			}
+			failures++
+			if !f.complete.Load() {
+				failures = 0
+				f.sleep(ctx, f.cfg.RetryBase)
 			}
 			continue
 		}
-		changed, err := f.read(ctx)
+		failures = 0
+		wait := f.cfg.Wait
+		if ok || f.failing.Load() {
+			wait = probeWait
+		}
+		changed, err := f.read(ctx, wait)
 		switch {
 		case err == nil:
 			pause = f.cfg.RetryBase
-			if changed {
+			if changed && !ok {
 				f.sleep(ctx, f.gather(now.Sub(started)))
 			}
 		case errors.Is(err, ErrHistoryGone):
 			f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("history gone, listing anew")
-			f.listed = false
+			f.relist = true
 		case ctx.Err() != nil:
 			return
 		default:
 			f.failed(err)
-			f.sleep(ctx, pause/2+rand.N(pause/2+1))
+			if ok {
+				pause = f.cfg.DirectRetry
+			}
+			f.sleepWhileLost(ctx, pause/2+rand.N(pause/2+1))
 			pause = min(2*pause, f.cfg.RetryMax)
 		}
 	}
 }
 
+// mayFollow reports whether a node may follow another at a time since its start.
+// While it has nothing it asks others for some time only; while the store does not
+// answer, Tick asks any of them.
+func (f *Feed) mayFollow(running time.Duration) bool {
+	if !f.complete.Load() {
+		return running < f.cfg.SeekFor
+	}
+	return !f.lost.Load()
+}
+
 // gather returns the pause after events at a time since the start.
 func (f *Feed) gather(running time.Duration) time.Duration {
 	if running < f.cfg.StartFor {
@@ -217,21 +275,39 @@
 	return f.cfg.Gather
 }
 
-// follow asks the leader once. It reports false when this node is to read the
-// store itself.
-func (f *Feed) follow(ctx context.Context, leader string) bool {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.FollowWait+f.cfg.PeerTimeout)
+// follow asks a node for its copy once. It reports false when the node is to be
+// followed no longer.
+func (f *Feed) follow(ctx context.Context, upstream copytree.Upstream) bool {
+	limit := f.maxAge(upstream.Hops)
+	wait := min(max(limit-f.Age(time.Now()), f.cfg.MinFollowWait), f.cfg.FollowWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.PeerTimeout)
 	defer cancel()
-	state, err := f.peers.Follow(ctx, leader, f.catalog.Revision(), f.cfg.FollowWait)
-	now := time.Now()
-	if err != nil || state.Age > f.cfg.MaxAge {
-		f.logger.Info().Str("part", "feed").Str("leader", leader).Dur("age", state.Age).AnErr("cause", err).
-			Msg("leader not followed, reading the store")
+	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Revision(), wait)
+	if err != nil || state.Age > limit || state.Revision == 0 {
+		f.peers.Avoid(upstream.Address, time.Now().Add(f.cfg.AvoidFor))
+		f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
+			Dur("age", state.Age).Uint64("revision", state.Revision).AnErr("cause", err).Msg("upstream not followed")
 		return false
 	}
+	f.failing.Store(false)
+	f.take(state)
+	return true
+}
+
+// maxAge is the age at which a copy behind a number of others is too old.
+func (f *Feed) maxAge(hops int) time.Duration {
+	return f.cfg.MaxAge + time.Duration(hops-1)*f.cfg.AgePerHop
+}
+
+// take merges the state of a peer that is young enough.
+func (f *Feed) take(state State) {
+	now := time.Now()
 	f.catalog.Merge(state.Items, state.Complete, state.Revision, now)
+	if state.Complete {
+		f.complete.Store(true)
+	}
 	f.setCurrent(now.Add(-state.Age))
-	return true
+	f.back(now)
 }
 
 // Age returns the time since the catalog was known to be current.
@@ -239,19 +315,22 @@
 	return now.Sub(*f.currentAt.Load())
 }
 
+// setCurrent notes that the catalog was current at a time. What is known of a later
+// one stands.
 func (f *Feed) setCurrent(at time.Time) {
-	f.currentAt.Store(&at)
+	for {
+		known := f.currentAt.Load()
+		if at.Before(*known) || f.currentAt.CompareAndSwap(known, &at) {
+			return
+		}
+	}
 }
 
 // read makes one call of the store and applies what it brings.
-func (f *Feed) read(ctx context.Context) (changed bool, err error) {
-	if !f.listed || f.crowded {
+func (f *Feed) read(ctx context.Context, wait time.Duration) (changed bool, err error) {
+	if !f.complete.Load() || f.relist || f.crowded {
 		return f.list(ctx)
 	}
-	wait := f.cfg.Wait
-	if f.lost.Load() {
-		wait = probeWait
-	}
 	events, at, err := f.store.Watch(ctx, f.catalog.Revision(), wait)
 	f.count("watch", err)
 	if err != nil {
@@ -274,7 +353,8 @@
 	f.answered()
 	known := f.catalog.Revision()
 	f.catalog.Replace(items, at, time.Now())
-	f.listed = true
+	f.complete.Store(true)
+	f.relist = false
 	f.crowded = f.crowded && at > known
 	return f.crowded, nil
 }
@@ -299,14 +379,25 @@
 }
 
 func (f *Feed) answered() {
-	f.lost.Store(false)
-	f.setCurrent(time.Now())
-	if f.catalog.StoreBack(time.Now()) {
+	now := time.Now()
+	f.failing.Store(false)
+	f.setCurrent(now)
+	f.back(now)
+}
+
+// back notes that the store answers this node or one that it follows.
+func (f *Feed) back(now time.Time) {
+	if f.lost.Swap(false) {
+		// All copies were old, by no fault of the nodes that hold them.
+		f.peers.Forgive()
+	}
+	if f.catalog.StoreBack(now) {
 		f.logger.Info().Str("part", "feed").Msg("store answers again")
 	}
 }
 
 func (f *Feed) failed(err error) {
+	f.failing.Store(true)
 	f.catalog.StoreLost()
 	if !f.lost.Swap(true) {
 		f.logger.Warn().Str("part", "feed").Err(err).Msg("store does not answer")
@@ -322,8 +413,16 @@
 		f.logger.Debug().Str("part", "feed").Err(err).Msg("peer gave no state")
 		return
 	}
+	if state.Revision > 0 && state.Age <= f.cfg.MaxAge {
+		// The store answers others, so its records end for a reason.
+		f.take(state)
+		return
+	}
 	if state.Revision > known {
 		f.catalog.Merge(state.Items, state.Complete, state.Revision, time.Now())
+		if state.Complete {
+			f.complete.Store(true)
+		}
 		f.logger.Info().Str("part", "feed").Uint64("revision", state.Revision).Int("items", len(state.Items)).
 			Msg("state taken from a peer")
 	}
@@ -336,13 +435,22 @@
 	for f.sleep(ctx, f.cfg.TickInterval) {
 		now := time.Now()
 		f.catalog.Tick(now)
-		if f.lost.Load() && now.Sub(asked) >= f.cfg.PeerInterval {
+		if f.failing.Load() && now.Sub(asked) >= f.cfg.PeerInterval {
 			asked = now
 			f.queryPeer(ctx)
 		}
 	}
 }
 
+// sleepWhileLost sleeps for a time, but not after a young copy was found.
+func (f *Feed) sleepWhileLost(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); f.lost.Load() && time.Now().Before(end); {
+		if !f.sleep(ctx, min(f.cfg.RetryBase, time.Until(end))) {
+			return
+		}
+	}
+}
+
 // sleep reports false when the context ended.
 func (f *Feed) sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -21,6 +21,7 @@
 	"boragefall/internal/catalog"
 	"boragefall/internal/config"
 	"boragefall/internal/control"
+	"boragefall/internal/copytree"
 	"boragefall/internal/exchange"
 	"boragefall/internal/feed"
 	"boragefall/internal/host"
@@ -114,7 +115,7 @@
 // Reload takes in the settings that may change while the node runs: the peers
 // that are asked first.
 func (n *Node) Reload(s settings.Settings) {
-	n.neighbours.setSeeds(s.Peers)
+	n.neighbours.SetSeeds(s.Peers)
 }
 
 // Stop carries out a planned stop.
@@ -194,8 +195,9 @@
 		return nil, eris.Wrap(err, "link address")
 	}
 	return &neighbours{
-		view: c.View, seeds: s.Peers, self: s.LinkListen, linkPort: port, service: s.Service,
-		dataCentre: s.DataCentre, avoided: map[string]time.Time{}, control: control.NewClient(d.control), logger: logger,
+		Place: copytree.NewPlace(copytree.Member{Address: s.LinkListen, DataCentre: s.DataCentre}, s.Peers),
+		view:  c.View, self: s.LinkListen, linkPort: port, service: s.Service,
+		control: control.NewClient(d.control), logger: logger,
 	}, nil
 }
 
@@ -244,8 +246,9 @@
 	return &streams{requests: exchange.NewServer(hop, version, logger), boot: self.BootMillis, hop: hop, poison: p, catalog: c, feed: f, packer: newPacker(), logger: logger}
 }
 
-func followCatalog(c *catalog.Catalog, hop *LastHop) {
+func followCatalog(c *catalog.Catalog, hop *LastHop, n *neighbours) {
 	c.OnChange(hop.Update)
+	c.OnChange(n.update)
 }
 
 func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streams, logger *log.Logger) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,21 +1,17 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
 	"math"
-	"math/rand/v2"
 	"net"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
 	"boragefall/internal/catalog"
 	"boragefall/internal/control"
+	"boragefall/internal/copytree"
 	"boragefall/internal/exchange"
 	"boragefall/internal/feed"
 	"boragefall/internal/link"
@@ -25,31 +21,19 @@
 // errNoPeer reports that no other node is known.
 var errNoPeer = eris.New("no other node is known")
 
-// followersEach is the number of nodes of a data centre that one node reads the
-// store for. Each asks it about twice a second and gets every configuration from
-// it, over a link that may be a hundred times narrower than others'.
-const followersEach = 16
-
 // noticeTimeout bounds the telling of one peer about a broken run.
 const noticeTimeout = time.Second
 
 // neighbours finds the other nodes: each stands beside a server that the
 // catalog lists, and all take links at the same port.
 type neighbours struct {
+	*copytree.Place
 	view     func() *catalog.View
 	self     string // own link address
 	linkPort string
 	service  string
-	// dataCentre is this node's.
-	dataCentre string
-	control    *control.Client
-	logger     *log.Logger
-
-	mu sync.Mutex
-	// seeds are asked besides the nodes that the catalog knows.
-	seeds []string
-	// avoided holds the nodes that failed as leaders, and until when.
-	avoided map[string]time.Time
+	control  *control.Client
+	logger   *log.Logger
 }
 
 // addresses returns the link addresses of the nodes beside the servers that
@@ -67,34 +51,18 @@
 	return out
 }
 
-// Leader returns the node of this data centre whose copy of the store this one
-// follows: all nodes order the same addresses by a hash, and the first few that
-// answer read the store. It returns false when this node is one of them.
-func (n *neighbours) Leader(now time.Time) (string, bool) {
-	candidates := n.addresses(func(l *catalog.Listing) bool { return l.DataCentre == n.dataCentre })
-	candidates = append(candidates, n.self)
-	leaders := 1 + len(candidates)/followersEach
-	n.mu.Lock()
-	candidates = slices.DeleteFunc(candidates, func(address string) bool { return now.Before(n.avoided[address]) })
-	n.mu.Unlock()
-	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	candidates = candidates[:min(leaders, len(candidates))]
-	if slices.Contains(candidates, n.self) {
-		return "", false
-	}
-	return candidates[xxhash.Sum64String(n.self)%uint64(len(candidates))], true
-}
-
-// Avoid keeps a node from being the leader until a time.
-func (n *neighbours) Avoid(address string, until time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for known, end := range n.avoided {
-		if until.After(end) && time.Now().After(end) {
-			delete(n.avoided, known)
+// update follows a new view of the mesh.
+func (n *neighbours) update(v *catalog.View) {
+	var members []copytree.Member
+	seen := map[string]bool{}
+	for _, l := range v.Servers {
+		address := net.JoinHostPort(l.IP(), n.linkPort)
+		if !seen[address] {
+			seen[address] = true
+			members = append(members, copytree.Member{Address: address, DataCentre: l.DataCentre})
 		}
 	}
-	n.avoided[address] = until
+	n.SetMembers(members)
 }
 
 // Follow asks a node for its copy of the store beyond a revision.
@@ -120,26 +88,13 @@
 	return state, nil
 }
 
-// Query asks one node, chosen at random, for its copy of the store.
+// Query asks one node for its copy of the store.
 func (n *neighbours) Query(ctx context.Context, revision uint64) (feed.State, error) {
-	candidates := n.addresses(func(*catalog.Listing) bool { return true })
-	n.mu.Lock()
-	for _, seed := range n.seeds {
-		if seed != n.self {
-			candidates = append(candidates, seed)
-		}
-	}
-	n.mu.Unlock()
-	if len(candidates) == 0 {
+	address, ok := n.Ask()
+	if !ok {
 		return feed.State{}, errNoPeer
 	}
-	return n.Follow(ctx, candidates[rand.IntN(len(candidates))], revision, 0)
-}
-
-func (n *neighbours) setSeeds(seeds []string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.seeds = seeds
+	return n.Follow(ctx, address, revision, 0)
 }
 
 // tellOfBrokenRun tells the other gates of the service that a server broke off
