Bound what a server in trouble may send in place of an answer

The head is read through a limit of 64 KiB, strays to 256 KiB. The connection ends at once, the verdict is 'may have run', the server counts as failing. An answer without an id was taken for the present request's; only a health check's may have none now. Ruled out by tests that already held: chunk extensions, trailers (net/http bounds both), a body without end (streamed), bytes behind a whole answer.

--- /dev/null
+++ b/internal/serverconn/endless_test.go
@@ -0,0 +1,170 @@
+package serverconn_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/serverconn"
+	"boragefall/internal/verdict"
+)
+
+const (
+	// endlessRequests is the number of requests under way at one server at once.
+	endlessRequests = 12
+	// memoryEach bounds what each of them may allocate, in bytes: the smallest host
+	// has 184 MB for the process with all its requests.
+	memoryEach = 2 << 20
+)
+
+// pour writes a text again and again until the connection is closed.
+func pour(c net.Conn, start, text string) {
+	block := []byte(strings.Repeat(text, 1+(16<<10)/len(text)))
+	_, err := io.WriteString(c, start)
+	for err == nil {
+		_, err = c.Write(block)
+	}
+}
+
+// allocated returns the bytes allocated while something runs.
+func allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+var _ = Describe("a server that sends bytes without end", func() {
+	// Servers in trouble send bytes that are no answer until their caller closes.
+	DescribeTable("in place of an answer is closed at once, with bounded memory",
+		func(start, text string) {
+			s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, ok := readRequest(r); ok {
+					pour(c, start, text)
+				}
+			})
+			c := client(s)
+			used := allocated(func() {
+				var work sync.WaitGroup
+				for range endlessRequests {
+					work.Go(func() {
+						defer GinkgoRecover()
+						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+						defer cancel()
+						_, err := c.Do(ctx, get("1"))
+						Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+						Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonConnectionLost))
+						Expect(ctx.Err()).NotTo(HaveOccurred())
+					})
+				}
+				work.Wait()
+			})
+			Expect(used).To(BeNumerically("<", endlessRequests*memoryEach))
+		},
+		Entry("one header line", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "abcdefgh"),
+		Entry("header lines", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X-More: abcdefgh\r\n"),
+		Entry("a status line", "HTTP/1.1 200 ", "abcdefgh"),
+		Entry("no line at all", "", "abcdefgh"),
+		Entry("interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+		Entry("interim answers with long heads", "", "HTTP/1.1 102 Processing\r\nX: "+strings.Repeat("a", 60_000)+"\r\n\r\n"),
+		Entry("answers to others", "", "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 1\r\n\r\nx"),
+		Entry("the body of an answer to another", "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nabcdefgh\r\n"),
+		Entry("a chunk extension", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n8;x=", "abcdefgh"),
+		Entry("trailers", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: abcdefgh\r\n"),
+	)
+
+	DescribeTable("in an answer's body is read no faster than its reader takes it, and closed when that one leaves",
+		func(start, text string) {
+			closed := make(chan struct{})
+			s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, ok := readRequest(r); !ok {
+					return
+				}
+				defer close(closed)
+				pour(c, start, text)
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			used := allocated(func() {
+				answer, err := client(s).Do(ctx, get("1"))
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.CopyN(io.Discard, answer.Body, 64<<20)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Body.Close()).To(Succeed())
+				Eventually(closed).Should(BeClosed())
+			})
+			Expect(used).To(BeNumerically("<", memoryEach))
+		},
+		Entry("without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "abcdefgh"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n"+strings.Repeat("a", 0x4000)+"\r\n"),
+	)
+
+	It("behind an answer's length gives that answer and closes", func() {
+		closed := make(chan struct{}, 2)
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, ok := readRequest(r); ok {
+				pour(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole", "abcdefgh")
+				closed <- struct{}{}
+			}
+		})
+		c := client(s, func(cfg *serverconn.Config) { cfg.MaxConnections = 1 })
+		Expect(do(c, get("1"))).To(Equal("whole"))
+		Expect(do(c, get("1"))).To(Equal("whole"))
+		Eventually(closed).Should(Receive())
+	})
+
+	It("ends with the deadline of the request", func() {
+		closed := make(chan struct{})
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, ok := readRequest(r); ok {
+				defer close(closed)
+				pour(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "abcdefgh")
+			}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		answer, err := client(s).Do(ctx, get("1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, answer.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(answer.Body.Close()).To(Succeed())
+		Eventually(closed).Should(BeClosed())
+	})
+})
+
+var _ = Describe("an answer that names no request", func() {
+	// A second copy of an answer may come without its id, on a connection in use again.
+	It("is taken for no request's", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				if _, _, ok := readRequest(r); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+			}
+		})
+		_, err := do(client(s), get("2"))
+		Expect(verdict.Of(err).Verdict).To(Equal(verdict.MayHaveRun))
+		Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonConnectionLost))
+	})
+
+	It("is a health check's when that was asked", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, ok := readRequest(r); ok {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		})
+		probe := get("")
+		probe.Order.Probe = true
+		Expect(do(client(s), probe)).To(Equal("ok"))
+	})
+})
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -20,6 +20,12 @@
 	// maxStrayAnswers bounds the answers to earlier requests that are passed
 	// over while the right one is awaited.
 	maxStrayAnswers = 4
+	// maxAnswerHead bounds the head of an answer in bytes; it is the bound for a
+	// request's head. A server in trouble may send a head that never ends.
+	maxAnswerHead = 64 << 10
+	// maxStrayBody bounds the body of an answer to another request that is read, so
+	// that the connection can go on, in bytes.
+	maxStrayBody = 256 << 10
 	// maxBufferedAnswer is the size in bytes up to which an answer is read
 	// whole before it is passed on, so that one that breaks off can be replaced.
 	maxBufferedAnswer = 256 << 10
@@ -30,6 +36,8 @@
 
 var errUnsigned = eris.New("a success that the server does not vouch for")
 
+var errUnnamed = eris.New("an answer that names no request")
+
 var errStray = eris.New("only answers to other requests arrived")
 
 // Answer is a backend server's answer with its meaning.
@@ -192,10 +200,13 @@
 	return x.conn.writer.Flush()
 }
 
-// receive reads the answer to this request and passes over answers to others.
+// receive reads the answer to this request and passes over answers to others. Only
+// a health check's answer may name no request.
 func (x *exchange) receive(out *http.Request) (*http.Response, protocol.Reply, error) {
 	for range maxStrayAnswers {
+		x.conn.head.permit(maxAnswerHead)
 		response, err := http.ReadResponse(x.conn.reader, out)
+		x.conn.head.lift()
 		if err != nil {
 			return nil, protocol.Reply{}, err
 		}
@@ -203,7 +214,10 @@
 			continue // an interim answer
 		}
 		reply := x.client.headers.Reply(response.StatusCode, response.Header)
-		if reply.ID == "" || reply.ID == x.request.ID {
+		if reply.ID == "" && !x.request.Order.Probe {
+			return nil, protocol.Reply{}, errUnnamed
+		}
+		if reply.ID == x.request.ID || x.request.Order.Probe {
 			if response.StatusCode < http.StatusMultipleChoices && !reply.Signed && !x.request.Order.Probe {
 				return nil, protocol.Reply{}, errUnsigned
 			}
@@ -212,8 +226,8 @@
 		if response.Close {
 			break
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, protocol.Reply{}, err
+		if read, err := io.CopyN(io.Discard, response.Body, maxStrayBody); !errors.Is(err, io.EOF) {
+			return nil, protocol.Reply{}, eris.Wrapf(errStray, "read %d bytes of one: %v", read, err)
 		}
 	}
 	return nil, protocol.Reply{}, errStray
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -120,6 +120,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	head      *headLimit
 	writer    *bufio.Writer
 	idleSince time.Time
 	idleLimit time.Duration
@@ -169,9 +170,11 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	head := &headLimit{source: raw}
 	return &conn{
 		Conn:   raw,
-		reader: bufio.NewReaderSize(raw, bufferBytes),
+		reader: bufio.NewReaderSize(head, bufferBytes),
+		head:   head,
 		writer: bufio.NewWriterSize(raw, bufferBytes),
 	}, nil
 }
