Divide the slack for repeats by the fleet of the moment

The bucket's size follows the number of listed servers; a smaller fleet gives no tokens back at once.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -12,24 +12,40 @@
 type Budget struct {
 	hundredths atomic.Int64
 	percent    int64
-	full       int64
+	full       atomic.Int64
 }
 
 // NewBudget returns a full bucket.
 func NewBudget(percent, burst int) *Budget {
-	b := &Budget{percent: int64(percent), full: int64(burst) * tokenUnit}
-	b.hundredths.Store(b.full)
+	b := &Budget{percent: int64(percent)}
+	b.full.Store(int64(burst) * tokenUnit)
+	b.hundredths.Store(b.full.Load())
 	return b
 }
 
+// SetBurst changes how much the bucket holds. What is in it is cut to that, and a
+// larger bucket gains nothing at once.
+func (b *Budget) SetBurst(burst int) {
+	full := int64(burst) * tokenUnit
+	if b.full.Swap(full) == full {
+		return
+	}
+	for {
+		current := b.hundredths.Load()
+		if current <= full || b.hundredths.CompareAndSwap(current, full) {
+			return
+		}
+	}
+}
+
 // Deposit counts one request.
 func (b *Budget) Deposit() {
 	for {
-		current := b.hundredths.Load()
-		if current >= b.full {
+		current, full := b.hundredths.Load(), b.full.Load()
+		if current >= full {
 			return
 		}
-		if b.hundredths.CompareAndSwap(current, min(current+b.percent, b.full)) {
+		if b.hundredths.CompareAndSwap(current, min(current+b.percent, full)) {
 			return
 		}
 	}
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -73,14 +73,16 @@
 }
 
 // budgetOf returns the repeats that this node may make for a service: its part
-// of the slack, and the ratio of its own requests.
+// of the slack in the fleet of the moment, and the ratio of its own requests.
 func (d *Dispatcher) budgetOf(service string) *retry.Budget {
+	entries := max(len(d.view().Servers), 1)
+	burst := max(int(budgetShare*float64(d.budget.Slack))/entries, 1)
 	if b, ok := d.budgets.Load(service); ok {
-		return b.(*retry.Budget)
+		budget := b.(*retry.Budget)
+		budget.SetBurst(burst)
+		return budget
 	}
-	entries := max(len(d.view().Servers), 1)
 	percent := int(budgetShare * d.budget.Ratio * 100)
-	burst := max(int(budgetShare*float64(d.budget.Slack))/entries, 1)
 	b, _ := d.budgets.LoadOrStore(service, retry.NewBudget(percent, burst))
 	return b.(*retry.Budget)
 }
