Send the whole state of the store compressed as one

Nodes that start now ask others for everything at the same time: 60 KB of records each at 194 hosts.

--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -72,20 +72,16 @@
 	if err != nil {
 		return feed.State{}, err
 	}
-	state := feed.State{
-		Items:    make([]catalog.Item, 0, len(answer.GetItems())),
+	items, err := unpackAll(answer)
+	if err != nil {
+		return feed.State{}, err
+	}
+	return feed.State{
+		Items:    items,
 		Complete: answer.GetComplete(),
 		Revision: answer.GetRevision(),
 		Age:      time.Duration(answer.GetAgeMillis()) * time.Millisecond,
-	}
-	for _, message := range answer.GetItems() {
-		item, err := unpack(message)
-		if err != nil {
-			return feed.State{}, err
-		}
-		state.Items = append(state.Items, item)
-	}
-	return state, nil
+	}, nil
 }
 
 // Query asks one node for its copy of the store.
@@ -156,14 +152,27 @@
 	}
 	items, complete, at := s.catalog.Since(query.GetRevision())
 	answer.Revision, answer.Complete = at, complete
+	if err := s.fill(answer, items); err != nil {
+		// Without the items the answer would be wrong; this one says nothing new.
+		s.logger.Error().Str("part", "feed").Err(err).Msg("state not sent")
+		return &wire.StateAnswer{AgeMillis: answer.GetAgeMillis()}
+	}
+	return answer
+}
+
+// fill puts items into an answer.
+func (s *streams) fill(answer *wire.StateAnswer, items []catalog.Item) error {
+	var err error
+	if answer.GetComplete() {
+		answer.PackedItems, err = s.packer.packAll(items, answer.GetRevision())
+		return err
+	}
 	for _, item := range items {
 		message, err := s.packer.pack(item)
 		if err != nil {
-			// Without the item the answer would be wrong; this one says nothing new.
-			s.logger.Error().Str("part", "feed").Err(err).Msg("state not sent")
-			return &wire.StateAnswer{AgeMillis: answer.GetAgeMillis()}
+			return err
 		}
 		answer.Items = append(answer.Items, message)
 	}
-	return answer
+	return nil
 }
