Close idle links on the platform too

Cause: CloseIdle of the links' dialers was called by the plain installation only, so a node on the platform kept a link, and its memory, to each host that ever was.

--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -67,7 +67,7 @@
 
 // Machine decides for one server. It is not safe for concurrent use.
 type Machine struct {
-	slots    int
+	slots int
 	// coldRate is the number of starts in any second while the server is cold.
 	coldRate float64
 	running  int
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -46,6 +46,9 @@
 	// linkRedialMax bounds the pause after failed dials, so that a host that is
 	// back gets work within about a second.
 	linkRedialMax = 800 * time.Millisecond
+	// linkUpkeep is how often unused links are looked for; it is short against the time
+	// after which one is closed.
+	linkUpkeep = 5 * time.Second
 	// bodyBudgetShare is the part of the memory limit for buffered bodies.
 	bodyBudgetShare = 8
 	// idleConnection is how long a caller's unused connection is kept. It is
@@ -182,13 +185,39 @@
 		requests: link.NewDialer(linkConfig(), link.ClassRequest, self, counter),
 		control:  link.NewDialer(linkConfig(), link.ClassControl, self, counter),
 	}
-	lc.Append(fx.StopHook(func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() {
+		go closeIdleLinks(ctx, d.requests, d.control)
+	}, func() {
+		cancel()
 		d.requests.Close()
 		d.control.Close()
 	}))
 	return d
 }
 
+// idleLinks are links of which the unused ones can be closed.
+type idleLinks interface {
+	CloseIdle(now time.Time)
+}
+
+// closeIdleLinks closes unused links from time to time and forgets their peers:
+// servers are replaced for as long as a node runs.
+func closeIdleLinks(ctx context.Context, links ...idleLinks) {
+	ticker := time.NewTicker(linkUpkeep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, l := range links {
+				l.CloseIdle(now)
+			}
+		}
+	}
+}
+
 func newNeighbours(s settings.Settings, c *catalog.Catalog, d dialers, logger *log.Logger) (*neighbours, error) {
 	_, port, err := net.SplitHostPort(s.LinkListen)
 	if err != nil {
--- /dev/null
+++ b/internal/sidecar/node_test.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// replacedPeers are links to servers that are replaced all the time.
+type replacedPeers struct {
+	mu     sync.Mutex
+	usedAt map[int]time.Time
+}
+
+// use notes that a peer is used, and returns how many are remembered.
+func (p *replacedPeers) use(peer int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usedAt[peer] = time.Now()
+	return len(p.usedAt)
+}
+
+// CloseIdle forgets the peers that were not used for a minute.
+func (p *replacedPeers) CloseIdle(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, at := range p.usedAt {
+		if now.Sub(at) >= time.Minute {
+			delete(p.usedAt, peer)
+		}
+	}
+}
+
+// Nodes kept a link to each host that ever was, for as long as they ran.
+func TestLinksToReplacedServersAreForgottenOverDays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		peers := &replacedPeers{usedAt: map[int]time.Time{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go closeIdleLinks(ctx, peers)
+		const every, days = 10 * time.Second, 3
+		for peer := range int(days * 24 * time.Hour / every) {
+			time.Sleep(every)
+			g.Expect(peers.use(peer)).To(BeNumerically("<=", int((time.Minute+linkUpkeep)/every)+2))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
