Ask the next seed soon while a node has no copy

Ruled out: the seeds' links and processors, the second seed answered within 100 to 200 ms.

An answer is awaited for 250 ms while a node has nothing. The new test of a fleet that starts at once fails before: 137 of 194 nodes without a configuration.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -84,6 +84,12 @@
 	// before it reads the store. Default 1500 ms: all hosts start within 300 ms, and
 	// a reader's first list takes about as long.
 	SeekFor time.Duration
+	// SeekWait and SeekTimeout are FollowWait and the time for an answer meanwhile.
+	// Defaults 100 ms and 250 ms: a host that has no power yet answers nothing, and the
+	// next one is asked.
+	SeekWait, SeekTimeout time.Duration
+	// SeekPause is the pause after a node that had nothing. Default 20 ms.
+	SeekPause time.Duration
 	// Gather is the pause after events before the next watch, so that a burst
 	// of changes costs few calls. Default 350 ms; it delays every change, of
 	// which the strictest must be in force within 2 s.
@@ -126,6 +132,9 @@
 	defaultAgePerHop    = 250 * time.Millisecond
 	defaultUpstreams    = 2
 	defaultSeekFor      = 1500 * time.Millisecond
+	defaultSeekWait     = 100 * time.Millisecond
+	defaultSeekTimeout  = 250 * time.Millisecond
+	defaultSeekPause    = 20 * time.Millisecond
 	defaultDirectRetry  = 4 * time.Second
 	defaultAvoidFor     = 10 * time.Second
 	defaultGather       = 350 * time.Millisecond
@@ -151,6 +160,9 @@
 	fill(&c.MaxAge, defaultMaxAge)
 	fill(&c.AgePerHop, defaultAgePerHop)
 	fill(&c.SeekFor, defaultSeekFor)
+	fill(&c.SeekWait, defaultSeekWait)
+	fill(&c.SeekTimeout, defaultSeekTimeout)
+	fill(&c.SeekPause, defaultSeekPause)
 	fill(&c.DirectRetry, defaultDirectRetry)
 	fill(&c.AvoidFor, defaultAvoidFor)
 	fill(&c.Gather, defaultGather)
@@ -225,7 +237,7 @@
 			failures++
 			if !f.complete.Load() {
 				failures = 0
-				f.sleep(ctx, f.cfg.RetryBase)
+				f.sleep(ctx, f.cfg.SeekPause)
 			}
 			continue
 		}
@@ -280,7 +292,11 @@
 func (f *Feed) follow(ctx context.Context, upstream copytree.Upstream) bool {
 	limit := f.maxAge(upstream.Hops)
 	wait := min(max(limit-f.Age(time.Now()), f.cfg.MinFollowWait), f.cfg.FollowWait)
-	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.PeerTimeout)
+	timeout := wait + f.cfg.PeerTimeout
+	if !f.complete.Load() {
+		wait, timeout = f.cfg.SeekWait, f.cfg.SeekTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Revision(), wait)
 	if err != nil || state.Age > limit || state.Revision == 0 {
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -262,6 +262,28 @@
 	})
 }
 
+// Power is back at all hosts within 300 ms. Nodes that came first asked hosts without
+// power, and were 750 ms without a configuration on fyrnet-large.
+func TestAFleetThatStartsAtOnceSoonHasAConfiguration(t *testing.T) {
+	runFleet(t, 194, func(f *feedFleet) {
+		const starting, seeds = 300 * time.Millisecond, 3
+		f.set(func() {
+			for _, n := range f.nodes[:seeds] {
+				n.down = true
+			}
+		})
+		for i := range seeds {
+			time.Sleep(starting / seeds)
+			f.set(func() { f.nodes[i].down = false })
+		}
+		// A host that was asked in vain, and the answer of the next.
+		time.Sleep(300 * time.Millisecond)
+		if late := f.behind(1); late > 0 {
+			t.Errorf("%d nodes have no configuration", late)
+		}
+	})
+}
+
 // A third of the hosts, drawn so that it holds the readers, is turned away for long.
 func TestAFleetOfWhichThirdIsTurnedAwayKeepsCurrent(t *testing.T) {
 	runFleet(t, 194, func(f *feedFleet) {
