Weigh a route's own answers when a request could cross data centres

Cause: an answer was taken for 1.5 KB whatever the route.

Each entry learns the mean size of a route's answers.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -26,8 +26,6 @@
 	// of the objective from which one is expected to be late: times vary.
 	lateCost  = 5 * time.Second
 	lateShare = 0.8
-	// answerKB is the size of an answer that is assumed.
-	answerKB = 1.5
 	// crossDelay is the way between data centres and back.
 	crossDelay = 2 * time.Millisecond
 	// guessedService is the time of a request at a server that nothing is known of.
@@ -64,6 +62,8 @@
 type Request struct {
 	// BodyBytes is the size of the request's body.
 	BodyBytes int64
+	// AnswerBytes is the size that the answer is expected to have.
+	AnswerBytes int64
 	// Objective is the time left in which an answer is most useful.
 	Objective time.Duration
 	// Local is the address of the server on this host; no body has to go there.
@@ -267,7 +267,7 @@
 		weight += max(now.Sub(s.silentSince).Seconds()-silenceFactor*service.Seconds(), 0)
 	}
 	if l.DataCentre != b.dataCentre {
-		kilobytes := float64(r.BodyBytes)/1024 + answerKB
+		kilobytes := float64(max(r.BodyBytes, 0)+r.AnswerBytes) / 1024
 		weight += crossDelay.Seconds() + min(crossCostPerKB.Seconds()*kilobytes, maxCrossCost.Seconds())
 	}
 	if l.Suspect {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -61,6 +61,16 @@
 	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
 }
 
+// Archives of 90 KB were fetched from wherever a slot was free: bytes between data
+// centres were the largest price of each day of vfsd-mesh.
+func TestLargeAnswersStayInTheirDataCentreWhileItHasRoom(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "south", "west")
+	loads := map[mesh.ServerID]*contract.Load{"a0": warmLoad(7), "a1": warmLoad(0), "a2": warmLoad(0)}
+	got := counts(newBalancer(), servers, Request{AnswerBytes: 90_000}, loads, 200, 10*time.Millisecond)
+	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
+}
+
 func TestSmallRequestsLeaveAFullDataCentre(t *testing.T) {
 	g := NewWithT(t)
 	servers := listed("north", "south")
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -48,6 +48,7 @@
 	budget   Budget
 	// linkPort is the port of the links of all nodes.
 	linkPort string
+	answers  *answerSizes
 	logger   *log.Logger
 	meter    Meter
 
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -185,10 +185,14 @@
 	}
 	x.c.Writer.WriteHeader(a.Status)
 	x.c.Writer.WriteHeaderNow()
-	if err := x.copyBody(a); err != nil {
+	size, err := x.copyBody(a)
+	if err != nil {
 		x.entry.Logger.Warn().Str("part", "entry").Str("request", x.request.ID).Err(err).Msg("answer cut")
 		panic(http.ErrAbortHandler)
 	}
+	if a.Status < http.StatusMultipleChoices {
+		x.entry.Dispatcher.answers.add(x.request.Route, size)
+	}
 	x.entry.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
 	message := decisions.MessagePassed
 	switch {
@@ -201,14 +205,14 @@
 		Str("service", x.request.Service).Int("status", a.Status).Dur("took", time.Since(x.started)).Msg(message)
 }
 
-func (x *call) copyBody(a *contract.Answer) error {
+// copyBody passes the body on and returns its size in bytes.
+func (x *call) copyBody(a *contract.Answer) (int64, error) {
 	if x.request.Method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified {
-		return nil
+		return 0, nil
 	}
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
-	_, err := io.CopyBuffer(struct{ io.Writer }{x.c.Writer}, struct{ io.Reader }{a.Body}, buffer[:])
-	return err
+	return io.CopyBuffer(struct{ io.Writer }{x.c.Writer}, struct{ io.Reader }{a.Body}, buffer[:])
 }
 
 // refuse tells the caller the final verdict, at once.
