Wait in a planned stop until answers to other nodes are sent

Cause (found by reading): a stopping node closed its links once its server ran nothing. A request of another node that the closing gate had just refused, or whose answer was on its way, was cut; its entry could not ask the gate any more and told the caller that it may have run. A stop now waits for each request of other nodes to be answered, within the permitted time.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -130,7 +130,9 @@
 // flags are the states that several parts share.
 type flags struct {
 	stopping atomic.Bool
-	busy     atomic.Int64
+	// busy counts the requests of this host's callers, serving those of other nodes,
+	// until their answers are sent.
+	busy, serving atomic.Int64
 }
 
 func newFlags() *flags { return &flags{} }
@@ -265,14 +267,17 @@
 	return feed.New(feed.Config{}, p.Store, n, c, m, logger)
 }
 
-func newStreams(self link.Identity, hop *LastHop, p *poison, c *catalog.Catalog, f *feed.Feed, logger *log.Logger) *streams {
+func newStreams(self link.Identity, hop *LastHop, p *poison, c *catalog.Catalog, f *feed.Feed, states *flags, logger *log.Logger) *streams {
 	version := func() config.Version {
 		if view := c.View(); view.Config != nil {
 			return config.Version{Revision: view.Config.Version}
 		}
 		return config.Version{}
 	}
-	return &streams{requests: exchange.NewServer(hop, version, logger), boot: self.BootMillis, hop: hop, poison: p, catalog: c, feed: f, packer: newPacker(), logger: logger}
+	return &streams{
+		requests: exchange.NewServer(hop, version, logger), serving: &states.serving, boot: self.BootMillis,
+		hop: hop, poison: p, catalog: c, feed: f, packer: newPacker(), logger: logger,
+	}
 }
 
 func followCatalog(c *catalog.Catalog, hop *LastHop, n *neighbours) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -111,6 +112,8 @@
 // streams serves what other nodes open on this node's links.
 type streams struct {
 	requests *exchange.Server
+	// serving counts the requests under way.
+	serving *atomic.Int64
 	// boot names this process in answers about requests.
 	boot    int64
 	hop     *LastHop
@@ -126,6 +129,8 @@
 func (s *streams) ServeStream(ctx context.Context, _ link.Class, opening *wire.Opening, stream *link.Stream) {
 	switch {
 	case opening.GetRequest() != nil:
+		s.serving.Add(1)
+		defer s.serving.Add(-1)
 		s.requests.Serve(ctx, opening.GetRequest(), stream)
 	case opening.GetStateQuery() != nil:
 		s.reply(stream, s.state(ctx, opening.GetStateQuery()))
--- a/internal/sidecar/stopper.go
+++ b/internal/sidecar/stopper.go
@@ -35,10 +35,16 @@
 	s.hop.SetStopping()
 	s.closeIntake(ctx)
 	limit := started.Add(time.Duration(graceShare * float64(s.grace)))
-	s.wait(ctx, limit, func() bool { return s.flags.busy.Load() == 0 && s.hop.Load().Running == 0 })
+	s.wait(ctx, limit, s.idle)
 	s.logger.Info().Str("part", "node").Int64("busy", s.flags.busy.Load()).Dur("took", time.Since(started)).Msg("drained")
 }
 
+// idle reports that no request is under way. A request that the gate refused, or whose
+// server is done, is under way until its answer is sent.
+func (s *stopper) idle() bool {
+	return s.flags.busy.Load() == 0 && s.flags.serving.Load() == 0 && s.hop.Load().Running == 0
+}
+
 // closeIntake closes the callers' listener and their unused connections. Some
 // callers go on sending to a node that says it is not ready; their requests
 // would be cut at the end.
