--- a/test/mesh/failures_test.go
+++ b/test/mesh/failures_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -80,6 +81,30 @@
 		f.checkPromises(calls)
 	})
 
+	It("neither repeats nor gives up what hosts have that are silent for a while", func() {
+		const silent, orders = 900 * time.Millisecond, 6
+		for _, m := range f.machines[hostsEach:] {
+			m.signal(syscall.SIGSTOP)
+		}
+		var work sync.WaitGroup
+		calls := make([]call, orders)
+		for i := range calls {
+			work.Go(func() {
+				defer GinkgoRecover()
+				calls[i] = f.do(f.machines[i%hostsEach], http.MethodPost, "/orders/b", []byte("one battery"))
+			})
+		}
+		time.Sleep(silent)
+		for _, m := range f.machines[hostsEach:] {
+			m.signal(syscall.SIGCONT)
+		}
+		work.Wait()
+		f.checkPromises(calls)
+		for _, c := range calls {
+			Expect(c.good()).To(BeTrue(), "%+v\n%s", c, f.logsOf(c.id))
+		}
+	})
+
 	It("sends nothing new to a leaving server after its bound", func() {
 		m := f.machines[0]
 		id := m.server.ID()
