Keep connections to the server fresh by the requests that may run twice

Idempotent requests take the one unused longest now. The new test fails before: 5 connections where 3 are enough.

--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,7 +130,7 @@
 // get returns an idle connection that is still good, or a new one.
 func (p *Pool) get(ctx context.Context, mustBeFresh bool) (*conn, error) {
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(mustBeFresh)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -142,12 +143,19 @@
 	}
 }
 
-func (p *Pool) takeIdle() *conn {
+// takeIdle returns the connection used last when it must be fresh, and else the one
+// that was unused longest, so that all stay fresh by what may run twice.
+func (p *Pool) takeIdle(mustBeFresh bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) == 0 {
 		return nil
 	}
+	if !mustBeFresh {
+		c := p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
+		return c
+	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
 	return c
--- a/internal/serverconn/serverconn_test.go
+++ b/internal/serverconn/serverconn_test.go
@@ -294,6 +294,53 @@
 		Expect(s.accepted()).To(Equal(3))
 	})
 
+	// Lookups went over the connection used last, and each order that came while it was
+	// busy found the others too old: 27 connections to a server of 7 slots on a day.
+	It("stays fresh for what must not run twice by what may", func() {
+		const connections, apart = 3, 500 * time.Millisecond
+		together := make(chan struct{}, connections)
+		var gate sync.WaitGroup
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				if id == "together" {
+					together <- struct{}{}
+					gate.Wait()
+				}
+				reply(c, id, "answer")
+			}
+		})
+		now := time.Unix(1000, 0)
+		c := client(s, func(cfg *serverconn.Config) { cfg.Now = func() time.Time { return now } })
+		atOnce := func(idempotent bool) {
+			gate.Add(1)
+			var work sync.WaitGroup
+			for range connections {
+				work.Go(func() {
+					defer GinkgoRecover()
+					r := get("together")
+					r.Idempotent = idempotent
+					Expect(do(c, r)).To(Equal("answer"))
+				})
+			}
+			for range connections {
+				Eventually(together).Should(Receive())
+			}
+			gate.Done()
+			work.Wait()
+		}
+		atOnce(true)
+		for range 20 {
+			now = now.Add(apart)
+			Expect(do(c, get("1"))).To(Equal("answer"))
+		}
+		atOnce(false)
+		Expect(s.accepted()).To(Equal(connections))
+	})
+
 	It("closes at once when its caller leaves", func() {
 		closed := make(chan time.Time, 1)
 		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
