Split the feed's loop; list at once after a forgotten history, avoid no seed at the start

Two slips on the way: a follower whose one direct read found the history gone asked two more upstreams before it listed, and a seed that had no power yet when it was asked was passed over as a reader for the next ten seconds.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -61,7 +61,7 @@
 // Config tunes a Feed. Zero fields take their defaults.
 type Config struct {
 	// Wait is how long a watch waits for an event. Default 600 ms: the end of a
-	// watch shows followers that the store still answers their leader, and that
+	// watch shows followers that the store still answers the reader, and that
 	// the watch did not go deaf when the store forgot its history.
 	Wait time.Duration
 	// FollowWait is how long a followed node waits for something newer, and
@@ -95,8 +95,7 @@
 	// which the strictest must be in force within 2 s.
 	Gather time.Duration
 	// StartGather is that pause within StartFor of the start. Defaults 1 s and 2 s:
-	// when all nodes start, servers register one by one, and until the first of a
-	// data centre has, each of its nodes reads the store itself.
+	// when all nodes start, servers register one by one, and each would end a watch.
 	StartGather, StartFor time.Duration
 	// CrowdedBytes is the size of the events of one watch beyond which lists take
 	// the place of watches until nothing new comes. Default 256 KiB, a fifth of a
@@ -209,6 +208,10 @@
 	// relist reports that the store must be listed before it is watched again. Only
 	// Run touches it, and what follows.
 	relist bool
+	// failures counts the upstreams that failed one after the other.
+	failures int
+	// pause is the one after the next failed call of the store.
+	pause time.Duration
 	// crowded reports that the last events were large: a watch brings every
 	// version of a key, a list only the last.
 	crowded bool
@@ -224,48 +227,58 @@
 // Run follows or reads until the context ends.
 func (f *Feed) Run(ctx context.Context) {
 	started := time.Now()
-	pause := f.cfg.RetryBase
-	failures := 0 // upstreams that failed one after the other
+	f.pause = f.cfg.RetryBase
 	for ctx.Err() == nil {
 		now := time.Now()
-		upstream, ok := f.peers.Upstream(now)
-		if ok && failures < f.cfg.Upstreams && f.mayFollow(now.Sub(started)) {
-			if f.follow(ctx, upstream) {
-				failures = 0
-				continue
-			}
-			failures++
-			if !f.complete.Load() {
-				failures = 0
-				f.sleep(ctx, f.cfg.SeekPause)
-			}
+		upstream, follower := f.peers.Upstream(now)
+		if follower && f.failures < f.cfg.Upstreams && f.mayFollow(now.Sub(started)) {
+			f.followOnce(ctx, upstream)
 			continue
 		}
-		failures = 0
-		wait := f.cfg.Wait
-		if ok || f.failing.Load() {
-			wait = probeWait
+		f.failures = 0
+		f.readOnce(ctx, follower, now.Sub(started))
+	}
+}
+
+// followOnce asks the upstream for its copy, and passes over it for some time when
+// that failed.
+func (f *Feed) followOnce(ctx context.Context, upstream copytree.Upstream) {
+	switch {
+	case f.follow(ctx, upstream):
+		f.failures = 0
+	case f.complete.Load():
+		f.failures++
+		f.peers.Avoid(upstream.Address, time.Now().Add(f.cfg.AvoidFor))
+	default:
+		f.sleep(ctx, f.cfg.SeekPause)
+	}
+}
+
+// readOnce makes one call of the store, and pauses after it as its result asks for. A
+// follower only renews its copy so.
+func (f *Feed) readOnce(ctx context.Context, follower bool, running time.Duration) {
+	wait := f.cfg.Wait
+	if follower || f.failing.Load() {
+		wait = probeWait
+	}
+	changed, err := f.read(ctx, wait)
+	switch {
+	case err == nil:
+		f.pause = f.cfg.RetryBase
+		if changed && !follower {
+			f.sleep(ctx, f.gather(running))
 		}
-		changed, err := f.read(ctx, wait)
-		switch {
-		case err == nil:
-			pause = f.cfg.RetryBase
-			if changed && !ok {
-				f.sleep(ctx, f.gather(now.Sub(started)))
-			}
-		case errors.Is(err, ErrHistoryGone):
-			f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("history gone, listing anew")
-			f.relist = true
-		case ctx.Err() != nil:
-			return
-		default:
-			f.failed(err)
-			if ok {
-				pause = f.cfg.DirectRetry
-			}
-			f.sleepWhileLost(ctx, pause/2+rand.N(pause/2+1))
-			pause = min(2*pause, f.cfg.RetryMax)
+	case errors.Is(err, ErrHistoryGone):
+		f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("history gone, listing anew")
+		f.relist = true
+		f.failures = f.cfg.Upstreams // the list comes next, whoever could be followed
+	case ctx.Err() == nil:
+		f.failed(err)
+		if follower {
+			f.pause = f.cfg.DirectRetry
 		}
+		f.sleepWhileLost(ctx, f.pause/2+rand.N(f.pause/2+1))
+		f.pause = min(2*f.pause, f.cfg.RetryMax)
 	}
 }
 
@@ -300,7 +313,6 @@
 	defer cancel()
 	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Revision(), wait)
 	if err != nil || state.Age > limit || state.Revision == 0 {
-		f.peers.Avoid(upstream.Address, time.Now().Add(f.cfg.AvoidFor))
 		f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
 			Dur("age", state.Age).Uint64("revision", state.Revision).AnErr("cause", err).Msg("upstream not followed")
 		return false
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -124,7 +124,9 @@
 	leader bool
 	age    time.Duration
 	// silent makes the leader not answer.
-	silent   bool
+	silent bool
+	// always makes the leader count whether it is avoided or not.
+	always   bool
 	avoided  time.Time
 	followed int
 }
@@ -151,7 +153,7 @@
 func (p *fakePeers) Upstream(now time.Time) (copytree.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return copytree.Upstream{Address: "leader", Hops: 1}, p.leader && !now.Before(p.avoided)
+	return copytree.Upstream{Address: "leader", Hops: 1}, p.leader && (p.always || !now.Before(p.avoided))
 }
 
 func (p *fakePeers) Avoid(_ string, until time.Time) {
@@ -379,3 +381,18 @@
 		wantRevision(t, c, 7)
 	})
 }
+
+// The store forgets its history, and at that moment the copies that a node follows are
+// old. The list must not wait until others were asked again.
+func TestAFollowerThatReadsAForgottenHistoryListsAtOnce(t *testing.T) {
+	store := &fakeStore{items: []catalog.Item{{Key: "k", Revision: 1}}}
+	peers := &fakePeers{revision: 1, leader: true}
+	run(t, store, peers, func(c *catalog.Catalog) {
+		time.Sleep(time.Second)
+		store.put(7)
+		store.set(func() { store.gone = true })
+		peers.set(func() { peers.age, peers.always = 2*time.Second, true })
+		time.Sleep(configBound)
+		wantRevision(t, c, 7)
+	})
+}
