--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -331,6 +331,7 @@
 func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, f *feed.Feed, client *serverconn.Client, logger *log.Logger) {
 	m.Gauge("gate_running", "Requests that the server beside this node runs.", func() float64 { return float64(hop.Load().Running) })
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
+	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().Service.Seconds() })
 	m.Gauge("gate_failing_ratio", "Share of requests that the server failed lately.", func() float64 { return hop.Load().Failing })
 	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
