--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -48,7 +48,7 @@
 	budget   Budget
 	// linkPort is the port of the links of all nodes.
 	linkPort string
-	answers  *answerSizes
+	sizes    *answerSizes
 	logger   *log.Logger
 	meter    Meter
 
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -129,8 +129,8 @@
 	}
 	w := &world{WithT: NewWithT(t), peers: &fakePeers{barred: func(string) (bool, error) { return true, nil }}}
 	w.dispatcher = &Dispatcher{
-		answers: newAnswerSizes(),
-		hop:     hop, view: func() *catalog.View { return view }, peers: w.peers, balancer: balance.New("north"),
+		sizes: newAnswerSizes(),
+		hop:   hop, view: func() *catalog.View { return view }, peers: w.peers, balancer: balance.New("north"),
 		budget: Budget{Ratio: 0.2, Slack: 4 * servers}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	return w
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -191,7 +191,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if a.Status < http.StatusMultipleChoices {
-		x.entry.Dispatcher.answers.add(x.request.Route, size)
+		x.entry.Dispatcher.sizes.add(x.request.Route, size)
 	}
 	x.entry.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
 	message := decisions.MessagePassed
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -116,7 +116,7 @@
 	view := t.d.view()
 	listed := view.Usable[t.request.Service]
 	listing, full := t.d.balancer.Choose(listed, balance.Request{
-		BodyBytes: t.request.ContentLength, AnswerBytes: t.d.answers.of(t.route.Name), Objective: t.request.Objective.Sub(now), Local: t.d.hop.address, Tried: t.tried, Class: t.request.Route,
+		BodyBytes: t.request.ContentLength, AnswerBytes: t.d.sizes.of(t.route.Name), Objective: t.request.Objective.Sub(now), Local: t.d.hop.address, Tried: t.tried, Class: t.request.Route,
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Entries: len(view.Servers),
 	}, now)
 	if listing == nil && full > 0 {
