Bound the age of a node's copy of the store; age it while changes are applied

Cause: a feed set the age of its copy to zero as soon as the store had answered, before the answer was in force. Changes made while the answer is applied are missing from the copy, so a peer that asked in between took an old revision for a current one; on a small host with a large configuration that lasts as long as decoding it.

Change: the age counts from the store's answer and is set once the answer is in force. Beside this estimate, which chooses an upstream, a feed now keeps a proven bound: it counts from the beginning of the call, by a clock that counts suspensions, and peers pass on what they prove. A watch that returns no event no longer moves the revision.

Measured: with the old order planted, TestCopyAgesWhileChangesAreApplied finds a copy of age 50 ms without a change that is 3.35 s old. With the bound taken at the answer instead of the beginning of the call, TestProvenAgeBoundsEveryChange fails. Both pass now.

--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -1,6 +1,10 @@
 package feed
 
-import "time"
+import (
+	"time"
+
+	"boragefall/internal/bootclock"
+)
 
 // Config holds the settings of a Feed. Zero fields take their defaults.
 type Config struct {
@@ -65,6 +69,9 @@
 	// TickInterval is the interval at which expired suspect servers are removed.
 	// Default 250 ms.
 	TickInterval time.Duration
+	// Clock is the clock of ProvenAge. It has to count the time in which the host was
+	// suspended. Default: the time since the host was started.
+	Clock func() time.Duration
 }
 
 const defaultMaxWatchBytes = 256 << 10
@@ -99,6 +106,9 @@
 	if c.UpstreamAttempts <= 0 {
 		c.UpstreamAttempts = defaultUpstreamAttempts
 	}
+	if c.Clock == nil {
+		c.Clock = bootclock.Now
+	}
 	setDefault(&c.WatchWait, defaultWatchWait)
 	setDefault(&c.FollowWait, defaultFollowWait)
 	setDefault(&c.MinFollowWait, defaultMinFollowWait)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -40,8 +40,20 @@
 	Complete bool
 	// Revision is the revision of the peer's copy.
 	Revision uint64
-	// Age is the time since the peer's copy was known to be current.
+	// Age is the time since the peer's copy was known to be current. It is an estimate
+	// that serves to choose an upstream.
 	Age time.Duration
+	// Proof is what the peer proves about its copy; nil if it proves nothing.
+	Proof *PeerProof
+}
+
+// PeerProof bounds the age of a peer's copy.
+type PeerProof struct {
+	// Age is the proven age of the copy when the peer answered.
+	Age time.Duration
+	// Held is the time from the arrival of the request at the peer until its answer, by
+	// the peer's clock.
+	Held time.Duration
 }
 
 // Peers gives access to the copies of other nodes.
@@ -88,6 +100,9 @@
 	// currentAsOf is the latest time at which the catalog was known to be current. It
 	// includes a monotonic clock reading, since the wall clock may jump.
 	currentAsOf atomic.Pointer[time.Time]
+	// provenAsOf is the latest reading of cfg.Clock for which it is proven that the
+	// catalog holds every change made before it; 0 if there is none.
+	provenAsOf atomic.Int64
 	// complete reports that the catalog holds all items of its revision, so that a
 	// watch or an upstream can continue from that revision.
 	complete atomic.Bool
@@ -197,6 +212,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := f.cfg.Clock()
 	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Revision(), wait)
 	if err != nil || state.Age > limit || state.Revision == 0 {
 		f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
@@ -204,7 +220,7 @@
 		return false
 	}
 	f.storeFailing.Store(false)
-	f.applyPeerState(state)
+	f.applyPeerState(state, began)
 	return true
 }
 
@@ -213,15 +229,47 @@
 	return f.cfg.MaxAge + time.Duration(hops-1)*f.cfg.AgePerHop
 }
 
-// applyPeerState merges a peer's state whose age is within its limit.
-func (f *Feed) applyPeerState(state PeerState) {
+// applyPeerState merges a peer's state whose age is within its limit. began is the
+// reading of the clock at which the request to the peer began.
+func (f *Feed) applyPeerState(state PeerState, began time.Duration) {
 	now := time.Now()
+	f.mergePeerState(state, began, now)
+	f.setCurrent(now.Add(-state.Age))
+	f.storeRecovered(now)
+}
+
+// mergePeerState merges a peer's state of any age. What the peer proves counts from the
+// beginning of the request, since the time that the answer took to arrive is unknown.
+func (f *Feed) mergePeerState(state PeerState, began time.Duration, now time.Time) {
 	f.catalog.Merge(state.Items, state.Complete, state.Revision, now)
 	if state.Complete {
 		f.complete.Store(true)
 	}
-	f.setCurrent(now.Add(-state.Age))
-	f.storeRecovered(now)
+	if state.Proof != nil {
+		f.setProven(began + state.Proof.Held - state.Proof.Age)
+	}
+}
+
+// ProvenAge returns an upper bound on the age of the catalog: every change that the store
+// acknowledged longer ago is in it. It returns false if nothing is proven. A caller that
+// needs the bound for a view has to call ProvenAge before it reads the view.
+func (f *Feed) ProvenAge() (time.Duration, bool) {
+	at := f.provenAsOf.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return f.cfg.Clock() - time.Duration(at), true
+}
+
+// setProven records that the catalog holds every change made before a reading of the
+// clock.
+func (f *Feed) setProven(at time.Duration) {
+	for {
+		known := f.provenAsOf.Load()
+		if int64(at) <= known || f.provenAsOf.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
 }
 
 // Age returns the time since the catalog was known to be current.
@@ -245,13 +293,20 @@
 	if !f.complete.Load() || f.relist || f.listInsteadOfWatch {
 		return f.list(ctx)
 	}
-	events, revision, err := f.store.Watch(ctx, f.catalog.Revision(), wait)
+	began, known := f.cfg.Clock(), f.catalog.Revision()
+	events, revision, err := f.store.Watch(ctx, known, wait)
 	f.countCall("watch", err)
 	if err != nil {
 		return false, err
 	}
-	f.storeResponded()
-	f.catalog.Apply(events, revision, time.Now())
+	if len(events) == 0 {
+		// The watch covers all keys, so a newer revision without an event means that the
+		// watch missed one. The next watch starts where this one did.
+		revision = known
+	}
+	answeredAt := time.Now()
+	f.catalog.Apply(events, revision, answeredAt)
+	f.storeResponded(began, answeredAt)
 	f.listInsteadOfWatch = valueBytes(events) > f.cfg.MaxWatchBytes
 	return len(events) > 0, nil
 }
@@ -259,15 +314,16 @@
 // list reads all items. After large events it reports whether the store's revision
 // advanced; if so, the next call lists again.
 func (f *Feed) list(ctx context.Context) (changed bool, err error) {
+	began := f.cfg.Clock()
 	items, revision, err := f.store.List(ctx)
 	f.countCall("list", err)
 	if err != nil {
 		return false, err
 	}
-	f.storeResponded()
-	known := f.catalog.Revision()
-	f.catalog.Replace(items, revision, time.Now())
+	known, answeredAt := f.catalog.Revision(), time.Now()
+	f.catalog.Replace(items, revision, answeredAt)
 	f.complete.Store(true)
+	f.storeResponded(began, answeredAt)
 	f.relist = false
 	f.listInsteadOfWatch = f.listInsteadOfWatch && revision > known
 	return f.listInsteadOfWatch, nil
@@ -292,11 +348,15 @@
 	f.meter.StoreCalled(call, result)
 }
 
-func (f *Feed) storeResponded() {
-	now := time.Now()
+// storeResponded records a successful store call whose result has been applied: a peer
+// that asks in between must not see the new age with the old revision. began is the
+// reading of the clock at which the call began; the answer reflects all changes before
+// it. answeredAt is the time of the answer; applying it may have taken seconds.
+func (f *Feed) storeResponded(began time.Duration, answeredAt time.Time) {
 	f.storeFailing.Store(false)
-	f.setCurrent(now)
-	f.storeRecovered(now)
+	f.setProven(began)
+	f.setCurrent(answeredAt)
+	f.storeRecovered(time.Now())
 }
 
 // storeRecovered records that the store responds to this node or to its upstream.
@@ -322,7 +382,7 @@
 func (f *Feed) queryPeer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.PeerTimeout)
 	defer cancel()
-	known := f.catalog.Revision()
+	began, known := f.cfg.Clock(), f.catalog.Revision()
 	state, err := f.peers.Query(ctx, known)
 	if err != nil {
 		f.logger.Debug().Str("part", "feed").Err(err).Msg("peer query failed")
@@ -330,14 +390,13 @@
 	}
 	if state.Revision > 0 && state.Age <= f.cfg.MaxAge {
 		// The store responds to other nodes, so a deleted record is a real deletion.
-		f.applyPeerState(state)
+		f.applyPeerState(state, began)
 		return
 	}
+	if state.Revision > 0 {
+		f.mergePeerState(state, began, time.Now())
+	}
 	if state.Revision > known {
-		f.catalog.Merge(state.Items, state.Complete, state.Revision, time.Now())
-		if state.Complete {
-			f.complete.Store(true)
-		}
 		f.logger.Info().Str("part", "feed").Uint64("revision", state.Revision).Int("items", len(state.Items)).
 			Msg("state taken from a peer")
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -9,7 +9,9 @@
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
+	"boragefall/internal/bootclock"
 	"boragefall/internal/catalog"
 	"boragefall/internal/control"
 	"boragefall/internal/copytree"
@@ -77,12 +79,19 @@
 	if err != nil {
 		return feed.PeerState{}, err
 	}
-	return feed.PeerState{
+	state := feed.PeerState{
 		Items:    items,
 		Complete: answer.GetComplete(),
 		Revision: answer.GetRevision(),
 		Age:      time.Duration(answer.GetAgeMillis()) * time.Millisecond,
-	}, nil
+	}
+	if answer.ProvenAgeMillis != nil {
+		state.Proof = &feed.PeerProof{
+			Age:  time.Duration(answer.GetProvenAgeMillis()) * time.Millisecond,
+			Held: time.Duration(answer.GetHeldMillis()) * time.Millisecond,
+		}
+	}
+	return state, nil
 }
 
 // Query requests the copy of the store that one other node holds.
@@ -147,10 +156,18 @@
 // stateAnswer answers as soon as a revision newer than the query's is known, or when
 // the query's wait time has passed.
 func (s *streamServer) stateAnswer(ctx context.Context, query *wire.StateQuery) *wire.StateAnswer {
+	arrivedAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.GetWaitMillis())*time.Millisecond)
 	defer cancel()
 	s.catalog.Await(ctx, query.GetRevision())
-	answer := &wire.StateAnswer{AgeMillis: uint32(min(s.feed.Age(time.Now()).Milliseconds(), math.MaxUint32))}
+	// The ages are read before the items, which may therefore only be newer.
+	answer := &wire.StateAnswer{
+		AgeMillis:  millisRoundedUp(s.feed.Age(time.Now())),
+		HeldMillis: uint32((bootclock.Now() - arrivedAt).Milliseconds()),
+	}
+	if age, ok := s.feed.ProvenAge(); ok {
+		answer.ProvenAgeMillis = proto.Uint32(millisRoundedUp(age))
+	}
 	if known := s.catalog.Revision(); known <= query.GetRevision() {
 		answer.Revision = known
 		return answer
@@ -165,6 +182,11 @@
 	return answer
 }
 
+// millisRoundedUp returns a duration in whole milliseconds, never less than it is.
+func millisRoundedUp(d time.Duration) uint32 {
+	return uint32(min((d+time.Millisecond-1).Milliseconds(), math.MaxUint32))
+}
+
 // fillItems adds items to an answer.
 func (s *streamServer) fillItems(answer *wire.StateAnswer, items []catalog.Item) error {
 	var err error
