Decode items of the store before the catalog's lock is taken

Cause: a node decoded a changed configuration under the lock of its catalog. Its followers' queries blocked meanwhile and ran into their timeout, 400 ms beyond the wait.

Change: items are decoded first and applied after that; an item that another update has overtaken is passed over when it is applied.

Measured: TestCatalogAnswersWhileItDecodes deadlocks on the old code and passes now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -87,11 +87,12 @@
 
 // Apply applies events of the store. revision is the store's revision after them.
 func (c *Catalog) Apply(events []Item, revision uint64, now time.Time) {
+	decoded := c.decode(events)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changed := false
-	for _, item := range events {
-		changed = c.applyItem(item, now) || changed
+	for _, d := range decoded {
+		changed = c.applyItem(d, now) || changed
 	}
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
@@ -103,11 +104,12 @@
 // Replace applies a complete list of items at a revision. Items that are missing from
 // the list are deleted unless they changed after that revision.
 func (c *Catalog) Replace(items []Item, revision uint64, now time.Time) {
+	decoded := c.decode(items)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deleteMissing(keysOf(items), revision, now)
-	for _, item := range items {
-		c.applyItem(item, now)
+	for _, d := range decoded {
+		c.applyItem(d, now)
 	}
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
@@ -117,6 +119,10 @@
 // Merge applies items of a peer's copy if the peer's revision is newer. complete reports
 // that items are all items that exist at that revision.
 func (c *Catalog) Merge(items []Item, complete bool, revision uint64, now time.Time) {
+	if revision <= c.Revision() {
+		return
+	}
+	decoded := c.decode(items)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision <= c.revision {
@@ -125,14 +131,46 @@
 	if complete {
 		c.deleteMissing(keysOf(items), revision, now)
 	}
-	for _, item := range items {
-		c.applyItem(item, now)
+	for _, d := range decoded {
+		c.applyItem(d, now)
 	}
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
 	c.publish()
 }
 
+// decodedItem is an item with its decoded content.
+type decodedItem struct {
+	Item
+	record Record
+	err    error
+}
+
+// decode decodes the items that are newer than the catalog's. It does not hold the lock
+// meanwhile: a large configuration takes a small host long enough for its followers to
+// run into their timeouts.
+func (c *Catalog) decode(items []Item) []decodedItem {
+	decoded := make([]decodedItem, 0, len(items))
+	c.mu.Lock()
+	for _, item := range items {
+		if c.isNew(item) {
+			decoded = append(decoded, decodedItem{Item: item})
+		}
+	}
+	c.mu.Unlock()
+	for i := range decoded {
+		d := &decoded[i]
+		d.record, d.err = c.decoder.Decode(d.Item)
+	}
+	return decoded
+}
+
+// isNew reports whether an item is newer than the catalog's item with the same key.
+func (c *Catalog) isNew(item Item) bool {
+	known, ok := c.items[item.Key]
+	return !ok || item.Revision > known.Revision
+}
+
 func keysOf(items []Item) map[string]bool {
 	keys := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -225,12 +263,12 @@
 
 // applyItem applies an item unless the catalog has the same or a newer revision of its
 // key. It reports whether the view may have changed.
-func (c *Catalog) applyItem(item Item, now time.Time) bool {
-	if known, ok := c.items[item.Key]; ok && item.Revision <= known.Revision {
+func (c *Catalog) applyItem(d decodedItem, now time.Time) bool {
+	item, record, err := d.Item, d.record, d.err
+	if !c.isNew(item) {
 		return false
 	}
 	c.storeItem(item)
-	record, err := c.decoder.Decode(item)
 	if err != nil {
 		c.logger.Warn().Str("part", "catalog").Str("key", item.Key).Uint64("revision", item.Revision).
 			Err(err).Msg("store item is invalid")
@@ -345,7 +383,9 @@
 func (c *Catalog) deleteMissing(listed map[string]bool, revision uint64, now time.Time) {
 	for key, item := range c.items {
 		if !listed[key] && !item.Deleted && item.Revision <= revision {
-			c.applyItem(Item{Key: key, Revision: max(item.Revision+1, revision), Deleted: true}, now)
+			d := decodedItem{Item: Item{Key: key, Revision: max(item.Revision+1, revision), Deleted: true}}
+			d.record, d.err = c.decoder.Decode(d.Item) // cheap, since a deleted item has no value
+			c.applyItem(d, now)
 		}
 	}
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -281,3 +281,35 @@
 	}
 	return fmt.Sprint(version, ids, v.Evacuated)
 }
+
+// blockingDecoder decodes only once it is released.
+type blockingDecoder struct {
+	entered  chan struct{}
+	released chan struct{}
+}
+
+func (d blockingDecoder) Decode(item catalog.Item) (catalog.Record, error) {
+	d.entered <- struct{}{}
+	<-d.released
+	return jsonDecoder{}.Decode(item)
+}
+
+// Followers query the copy of a node while it decodes a large configuration.
+func TestCatalogAnswersWhileItDecodes(t *testing.T) {
+	decoder := blockingDecoder{entered: make(chan struct{}), released: make(chan struct{})}
+	c := catalog.New(decoder, telemetry.Silent())
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		c.Apply([]catalog.Item{{Key: "enorth", Revision: 7}}, 7, time.Unix(0, 0))
+	}()
+	<-decoder.entered
+	if revision := c.Revision(); revision != 0 { // blocks if the lock is held
+		t.Errorf("revision %d before the item was decoded", revision)
+	}
+	close(decoder.released)
+	<-applied
+	if revision := c.Revision(); revision != 7 {
+		t.Errorf("revision %d after the item was applied, want 7", revision)
+	}
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -184,7 +184,7 @@
 
 // millisRoundedUp returns a duration in whole milliseconds, never less than it is.
 func millisRoundedUp(d time.Duration) uint32 {
-	return uint32(min((d+time.Millisecond-1).Milliseconds(), math.MaxUint32))
+	return uint32(min((d + time.Millisecond - 1).Milliseconds(), math.MaxUint32))
 }
 
 // fillItems adds items to an answer.
