Read fractional slack; add the settings of propagation, revocation and quotas

Settings for the limits on propagation, key revocation and quotas are read; nothing uses them yet.

Measured: the new spec fails on the old code; a node starts with 34.6.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,13 +72,26 @@
 	RetryRatio float64
 	// RetrySlack is the number of retries that all nodes together may send in ten seconds
 	// in addition to RetryRatio. Default 50.
-	RetrySlack int
+	RetrySlack float64
 	// ColdOvershoot is the multiple of a cold server's own rate that it may receive in any
 	// second. Default 1.
 	ColdOvershoot float64
 	// ColdSlack is the number of requests that a cold server may receive in any second in addition
 	// to ColdOvershoot. Default 0.
-	ColdSlack int
+	ColdSlack float64
+	// ConfigPropagationLimit is the time within which a change of the configuration has to
+	// be in force. A node whose copy may be older does not answer that a route or a key does
+	// not exist. Default 2 s.
+	ConfigPropagationLimit time.Duration
+	// KeyRevocationLimit is the time after which a removed API key must no longer be
+	// accepted, not even by a host that is cut off. 0, the default, sets no limit.
+	KeyRevocationLimit time.Duration
+	// QuotaWindow is the window in which the requests of a workspace are compared with its
+	// quota. Default 5 s.
+	QuotaWindow time.Duration
+	// QuotaOvershoot is the share by which a workspace may exceed its quota in a window, and
+	// QuotaSlack the number of requests in addition. Defaults 0.
+	QuotaOvershoot, QuotaSlack float64
 	// MemoryMB is the memory that the process may use, in MiB. Default 128.
 	MemoryMB int
 	// LinkMbps is the rate of the host's link in Mbit/s. Default 1000.
@@ -93,6 +106,8 @@
 	defaultControlBytes = 7000
 	defaultRetryRatio   = 0.2
 	defaultRetrySlack   = 50
+	defaultPropagation  = 2 * time.Second
+	defaultQuotaWindow  = 5 * time.Second
 	defaultMemoryMB     = 128
 	defaultOvershoot    = 1.0
 	defaultLinkMbps     = 1000
@@ -144,9 +159,14 @@
 	flags.Float64Var(&s.TraceRatio, "trace-ratio", defaultTraceRatio, "sampled `share` of traces, 0 to 1")
 	flags.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "longest `time` of a planned stop")
 	flags.Float64Var(&s.RetryRatio, "retry-ratio", defaultRetryRatio, "retries permitted per request, 0 to 1")
-	flags.IntVar(&s.RetrySlack, "retry-slack", defaultRetrySlack, "additional repeated `sends` permitted to all nodes together in ten seconds")
+	flags.Float64Var(&s.RetrySlack, "retry-slack", defaultRetrySlack, "additional repeated `sends` permitted to all nodes together in ten seconds")
 	flags.Float64Var(&s.ColdOvershoot, "cold-overshoot", defaultOvershoot, "permitted `multiple` of a cold server's own rate in any second, 1 to 10")
-	flags.IntVar(&s.ColdSlack, "cold-slack", 0, "additional `requests` permitted to a cold server in any second")
+	flags.Float64Var(&s.ColdSlack, "cold-slack", 0, "additional `requests` permitted to a cold server in any second")
+	flags.DurationVar(&s.ConfigPropagationLimit, "config-propagation-limit", defaultPropagation, "`time` within which a change of the configuration has to be in force")
+	flags.DurationVar(&s.KeyRevocationLimit, "key-revocation-limit", 0, "`time` after which no node may accept a removed API key, 0 for no limit")
+	flags.DurationVar(&s.QuotaWindow, "quota-window", defaultQuotaWindow, "`window` in which requests are compared with a quota")
+	flags.Float64Var(&s.QuotaOvershoot, "quota-overshoot", 0, "`share` by which a quota may be exceeded in a window")
+	flags.Float64Var(&s.QuotaSlack, "quota-slack", 0, "additional `requests` above a quota permitted in a window")
 	flags.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory in `MiB` that the process may use")
 	flags.Float64Var(&s.LinkMbps, "link-mbps", defaultLinkMbps, "rate of the host's link in `Mbit/s`")
 	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
@@ -169,9 +189,14 @@
 		checkAddress("admin-listen", s.AdminListen),
 		s.checkSource(),
 		checkRange("retry-ratio", s.RetryRatio, 0, 1),
-		checkRange("retry-slack", float64(s.RetrySlack), 0, 1e6),
+		checkRange("retry-slack", s.RetrySlack, 0, 1e6),
 		checkRange("cold-overshoot", s.ColdOvershoot, 1, 10),
-		checkRange("cold-slack", float64(s.ColdSlack), 0, 1000),
+		checkRange("cold-slack", s.ColdSlack, 0, 1000),
+		checkRange("config-propagation-limit", s.ConfigPropagationLimit.Seconds(), 0.1, 600),
+		checkRange("key-revocation-limit", s.KeyRevocationLimit.Seconds(), 0, 86400),
+		checkRange("quota-window", s.QuotaWindow.Seconds(), 0.1, 3600),
+		checkRange("quota-overshoot", s.QuotaOvershoot, 0, 10),
+		checkRange("quota-slack", s.QuotaSlack, 0, 1e6),
 		checkRange("link-mbps", s.LinkMbps, 0.1, 1e6),
 		checkRange("memory-mb", float64(s.MemoryMB), 16, 1e6),
 		checkOneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,14 @@
 		Entry("an invalid peer address", []string{"--peer", "x"}, "peer"),
 	)
 
+	It("accepts fractions for the slack of retries, cold starts and quotas", func() {
+		s, err := settings.Read("node", []string{
+			"--settings", writeSettingsFile(validSettings), "--retry-slack", "34.6", "--cold-slack", "1.5", "--quota-slack", "3.3",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]float64{s.RetrySlack, s.ColdSlack, s.QuotaSlack}).To(Equal([]float64{34.6, 1.5, 3.3}))
+	})
+
 	It("rejects an unknown field of the file", func() {
 		_, err := settings.Read("node", []string{"--settings", writeSettingsFile(`{"hots": "a"}`)})
 		Expect(errors.Is(err, settings.ErrInvalidSetting)).To(BeTrue())
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -32,7 +32,7 @@
 	// Ratio is the number of retries permitted per request.
 	Ratio float64
 	// Slack is the number of retries permitted in addition, per window.
-	Slack int
+	Slack float64
 }
 
 // Body provides a request's body to each attempt.
@@ -101,7 +101,7 @@
 // at the current fleet size, and the ratio of its own requests.
 func (d *Dispatcher) retryBudgetFor(service string) *retry.Budget {
 	nodes := max(len(d.view().Servers), 1)
-	burst := max(int(retryBudgetShare*float64(d.retryBudget.Slack))/nodes, 1)
+	burst := max(int(retryBudgetShare*d.retryBudget.Slack)/nodes, 1)
 	if b, ok := d.retryBudgets.Load(service); ok {
 		budget := b.(*retry.Budget)
 		budget.SetBurst(burst)
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -132,7 +132,7 @@
 	w.dispatcher = &Dispatcher{
 		answerSizes: newAnswerSizes(),
 		hop:         hop, view: func() *catalog.View { return view }, peers: w.peers, balancer: balance.New("north", rand.Float64),
-		retryBudget: RetryBudget{Ratio: 0.2, Slack: 4 * servers}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
+		retryBudget: RetryBudget{Ratio: 0.2, Slack: float64(4 * servers)}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	return w
 }
@@ -292,7 +292,7 @@
 		w.Expect(e.Verdict).To(Equal(verdict.NotRun))
 	}
 	retries := w.peers.sendCount() - requests
-	w.Expect(retries).To(BeNumerically("<=", int(w.dispatcher.retryBudget.Ratio*requests)+w.dispatcher.retryBudget.Slack))
+	w.Expect(retries).To(BeNumerically("<=", int(w.dispatcher.retryBudget.Ratio*requests)+int(w.dispatcher.retryBudget.Slack)))
 }
 
 func TestRetryBudgetHoldsWhenServersFail(t *testing.T) {
@@ -306,7 +306,7 @@
 		w.Expect(e).To(BeNil())
 		w.Expect(answer.Body.Close()).To(Succeed())
 	}
-	w.Expect(w.peers.sendCount() - requests).To(BeNumerically("<=", int(w.dispatcher.retryBudget.Ratio*requests)+w.dispatcher.retryBudget.Slack))
+	w.Expect(w.peers.sendCount() - requests).To(BeNumerically("<=", int(w.dispatcher.retryBudget.Ratio*requests)+int(w.dispatcher.retryBudget.Slack)))
 }
 
 // Guards against a stack overflow, which the first benchmark run hit when it closed
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -173,7 +173,7 @@
 	runs, wasted := w.runs("crew")
 	t.Logf("visits %v, bundles %v, %d of %d runs wasted", w.tallies["visit"], w.tallies["bundle"], wasted, runs)
 	for service, a := range w.arrivalsByService {
-		permitted := loadBudget.Ratio*float64(a.requests) + float64(loadBudget.Slack)
+		permitted := loadBudget.Ratio*float64(a.requests) + loadBudget.Slack
 		t.Logf("%s: %d retries, %.0f permitted", service, a.retries, permitted)
 		g.Expect(float64(a.retries)).To(BeNumerically("<=", permitted), service)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -245,7 +245,7 @@
 func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *crashTracker, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
 		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, Logger: logger,
-		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: float64(s.ColdSlack)},
+		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 }
 
