Require keys, name the workspace to servers, stop at the age of the copy

Change: one view gives route and workspace of a request. The key and the caller's own Tenant are removed, the workspace's name is set before the request leaves the entry. The workspace's priority precedes the route's, and fingerprints include the workspace. Invalid workspaces and keys open nothing.

--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -56,6 +56,8 @@
 	Destinations []Destination
 	// MaxAttempts limits the number of servers that one request is sent to.
 	MaxAttempts int
+	// Public reports that requests need no key.
+	Public bool
 }
 
 // Service is a group of backend servers that serve the same requests.
@@ -95,15 +97,19 @@
 	Services map[string]Service
 	// Limits restricts the requests and connections of callers.
 	Limits Limits
+	// Workspaces finds the holder of a key. It is nil when the configuration has no
+	// workspaces, and requests need no key then.
+	Workspaces *WorkspaceTable
 	// Defects lists the invalid parts of the configuration. A defect affects only the
-	// route or service that it names.
+	// route, service or workspace that it names.
 	Defects []Defect
 }
 
 // Defect is an invalid part of a configuration. The part is ignored or replaced by
 // the strictest value that it may have.
 type Defect struct {
-	// Name is the name of the route or service; empty when the name is invalid too.
+	// Name is the name of the route, service or workspace; empty when the name is invalid
+	// too.
 	Name string
 	// Problem describes the invalid value and how it was handled.
 	Problem string
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -17,6 +17,8 @@
 	ID string
 	// Timeout is how long the caller waits for a response; 0 when unspecified.
 	Timeout time.Duration
+	// Key is the caller's key; empty when there is none or it is malformed.
+	Key mesh.APIKey
 }
 
 // ServerRequest is the metadata of a request to a backend server.
@@ -53,15 +55,28 @@
 	IdleTimeout time.Duration
 }
 
-// HeaderCodec translates between HTTP headers and the types of this package.
-type HeaderCodec interface {
+// CallerCodec translates the headers of callers.
+type CallerCodec interface {
 	// ReadCallerRequest returns the metadata of a caller's request.
 	ReadCallerRequest(h http.Header) CallerRequest
+	// SetWorkspace removes the caller's credentials from the headers of a request and
+	// sets the workspace that the server sees; an empty name sets none.
+	SetWorkspace(h http.Header, workspace string)
+	// WriteRefusal sets the headers of an error response that the mesh itself
+	// generates, and returns its status code.
+	WriteRefusal(h http.Header, id string, e *verdict.Error) int
+}
+
+// ServerCodec translates the headers of backend servers.
+type ServerCodec interface {
 	// WriteServerRequest sets the headers of a request to a backend server.
 	WriteServerRequest(h http.Header, o ServerRequest)
 	// ReadServerResponse returns the metadata of a backend server's response.
 	ReadServerResponse(status int, h http.Header) ServerResponse
-	// WriteRefusal sets the headers of an error response that the mesh itself
-	// generates, and returns its status code.
-	WriteRefusal(h http.Header, id string, e *verdict.Error) int
+}
+
+// HeaderCodec translates between HTTP headers and the types of this package.
+type HeaderCodec interface {
+	CallerCodec
+	ServerCodec
 }
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -61,11 +61,11 @@
 // Client sends requests over the connections of a pool.
 type Client struct {
 	*Pool
-	headers protocol.HeaderCodec
+	headers protocol.ServerCodec
 }
 
 // NewClient returns a client that sends over pool and encodes with headers.
-func NewClient(pool *Pool, headers protocol.HeaderCodec) *Client {
+func NewClient(pool *Pool, headers protocol.ServerCodec) *Client {
 	return &Client{Pool: pool, headers: headers}
 }
 
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -47,9 +47,11 @@
 // Entry serves the callers of this host: its clients and its backend server.
 type Entry struct {
 	// Origin is the service of the backend server on this host.
-	Origin        string
-	View          func() *catalog.View
-	Headers       protocol.HeaderCodec
+	Origin string
+	View   func() *catalog.View
+	// CopyAge bounds the age of the view that a later call of View returns.
+	CopyAge       copyAge
+	Headers       protocol.CallerCodec
 	Bodies        *intake.BodyBuffer
 	Dispatcher    *Dispatcher
 	Splitter      *trafficSplitter
@@ -80,7 +82,9 @@
 	c       *gin.Context
 	started time.Time
 	route   *mesh.Route
-	request *contract.Request
+	// workspace holds the request's key; nil on a route that needs none.
+	workspace *mesh.Workspace
+	request   *contract.Request
 }
 
 func (e *Entry) serve(c *gin.Context) {
@@ -113,7 +117,7 @@
 	if body.CanOpen() {
 		x.request.ContentLength = body.Size()
 	}
-	x.request.Fingerprint = fingerprint(x.request, body)
+	x.request.Fingerprint = fingerprint(x.request, x.workspace, body)
 	firstAt := x.firstAttemptAt(headers)
 	ctx, cancel := context.WithDeadline(x.c.Request.Context(), x.request.Deadline)
 	defer cancel()
@@ -139,9 +143,11 @@
 	return firstAt
 }
 
-// matchRoute fills the request from the HTTP request and its route.
+// matchRoute fills the request from the HTTP request, its route and its workspace, all of
+// one view.
 func (x *callerRequest) matchRoute(headers protocol.CallerRequest) *verdict.Error {
-	incoming, view := x.c.Request, x.entry.View()
+	incoming, age := x.c.Request, x.entry.CopyAge.read()
+	view := x.entry.View()
 	if view.Config == nil {
 		// Proof: without a configuration nothing is sent.
 		return verdict.Refuse(verdict.ReasonLacksResource, noConfigRetryAfter)
@@ -150,7 +156,10 @@
 	route, ok := view.Routes.Match(incoming.Host, path)
 	if !ok {
 		// Proof: without a route nothing is sent.
-		return verdict.Refuse(verdict.ReasonNoRoute, 0)
+		return age.absent(verdict.ReasonNoRoute)
+	}
+	if refusal := x.findWorkspace(view.Config, route, headers.Key, age); refusal != nil {
+		return refusal
 	}
 	if limit := view.Config.Limits.MaxBodyBytes; limit > 0 && incoming.ContentLength > limit {
 		// Proof: the body was not read, so nothing is sent.
@@ -167,23 +176,65 @@
 	r.Header = contract.EndToEnd(incoming.Header)
 	r.Route, r.Service = route.Name, x.entry.Splitter.pick(route)
 	r.Idempotent, r.Rank = route.Kind.Idempotent(), route.Priority
+	if view.Config.Workspaces != nil {
+		r.Rank = mesh.Rank(route, x.workspace)
+		x.entry.Headers.SetWorkspace(r.Header, x.workspaceName())
+	}
 	r.Deadline = x.started.Add(timeout)
 	r.Objective = x.started.Add(min(route.Objective, timeout))
 	r.ContentLength = incoming.ContentLength
 	return nil
 }
 
-// fingerprint identifies a request that is sent again under another ID. It leaves out a
-// body that is not buffered whole.
-func fingerprint(r *contract.Request, body *intake.Body) uint64 {
+// findWorkspace finds the workspace that holds the request's key. It refuses the request
+// if the route needs a key and there is none, or if the key may have been removed since.
+func (x *callerRequest) findWorkspace(config *mesh.Config, route *mesh.Route, key mesh.APIKey, age provenAge) *verdict.Error {
+	if config.Workspaces == nil || route.Public {
+		return nil
+	}
+	// Proof, for each of these refusals: nothing is sent without a workspace.
+	if refusal := age.keyRefusal(); refusal != nil {
+		return refusal
+	}
+	x.workspace = config.Workspaces.Holder(key)
+	if x.workspace == nil {
+		return age.absent(verdict.ReasonUnauthorized)
+	}
+	return nil
+}
+
+// workspaceName returns the name of the request's workspace, or "" if it has none.
+func (x *callerRequest) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// requestFingerprint identifies a request without its body, also when it is sent again
+// under another ID.
+func requestFingerprint(r *contract.Request, workspace *mesh.Workspace) uint64 {
 	digest := xxhash.New()
-	for _, part := range []string{r.Origin, r.Method, r.Host, r.URI} {
+	parts := []string{r.Origin, r.Method, r.Host, r.URI}
+	if workspace != nil {
+		parts = append(parts, workspace.Name)
+	}
+	for _, part := range parts {
 		_, _ = digest.WriteString(part) // hashing never fails
 		_, _ = digest.Write([]byte{0})  // hashing never fails
 	}
-	if body.CanOpen() {
-		_, _ = io.Copy(digest, body.Reader()) // reading memory and hashing never fail
+	return digest.Sum64()
+}
+
+// fingerprint identifies a request that is sent again under another ID. It leaves out a
+// body that is not buffered whole.
+func fingerprint(r *contract.Request, workspace *mesh.Workspace, body *intake.Body) uint64 {
+	withoutBody := requestFingerprint(r, workspace)
+	if !body.CanOpen() || body.Size() == 0 {
+		return withoutBody
 	}
+	digest := xxhash.NewWithSeed(withoutBody)
+	_, _ = io.Copy(digest, body.Reader()) // reading memory and hashing never fail
 	return digest.Sum64()
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -257,9 +257,11 @@
 	}
 }
 
-func newEntry(s settings.Settings, p Platform, c *catalog.Catalog, d *Dispatcher, m *telemetry.Metrics, f *nodeState, logger *log.Logger) *Entry {
+func newEntry(s settings.Settings, p Platform, c *catalog.Catalog, store *feed.Feed, d *Dispatcher, m *telemetry.Metrics, f *nodeState, logger *log.Logger) *Entry {
 	return &Entry{
-		Origin: s.Service, View: c.View, Headers: p.Headers, Dispatcher: d, Splitter: newTrafficSplitter(), CallerRetries: newCallerRetries(), Meter: m,
+		Origin: s.Service, View: c.View,
+		CopyAge: copyAge{proven: store.ProvenAge, propagationLimit: s.ConfigPropagationLimit, revocationLimit: s.KeyRevocationLimit},
+		Headers: p.Headers, Dispatcher: d, Splitter: newTrafficSplitter(), CallerRetries: newCallerRetries(), Meter: m,
 		Bodies: intake.NewBodyBuffer(intake.BodyConfig{Budget: int64(s.MemoryMB) << 20 / callerBodyMemoryDivisor}),
 		Logger: logger, Stopping: &f.stopping, InFlight: &f.callerRequests,
 	}
@@ -337,6 +339,12 @@
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().ServiceTime.Seconds() })
 	m.Gauge("gate_failing_ratio", "Share of requests that the server failed lately.", func() float64 { return hop.Load().FailureRate })
 	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
+	m.Gauge("config_proven_age_seconds", "Upper bound on the age of the configuration; -1 while nothing is proven.", func() float64 {
+		if age, ok := f.ProvenAge(); ok {
+			return age.Seconds()
+		}
+		return -1
+	})
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
--- a/internal/verdict/error.go
+++ b/internal/verdict/error.go
@@ -36,6 +36,9 @@
 	ReasonBodyTooLarge          // the body exceeds a size limit
 	ReasonRetryBudget           // the retry budget is exhausted
 	ReasonServerRefused         // the backend server refused the request without running it
+	ReasonUnauthorized          // no workspace holds the request's key
+	ReasonStaleConfig           // this node's configuration may be out of date
+	ReasonOverQuota             // the quota of the request's workspace is used up
 )
 
 var reasonTexts = [...]string{
@@ -44,6 +47,7 @@
 	"cut-answer", "quarantined", "not-owner", "no-lease", "fenced", "unknown-key",
 	"key-conflict", "key-required", "ledger-full", "answer-lost", "bad-request",
 	"body-too-large", "retry-budget", "server-refused",
+	"unauthorized", "stale-configuration", "over-quota",
 }
 
 // String returns the reason's name in logs, metrics and headers.
