Limit the requests of a workspace by a token bucket at its home

Cause: no quota bound; a workspace could send what it wanted.

Change: the node that ranks first for a workspace by rendezvous hashing keeps its bucket; entries ask it for credits, ahead of need from two requests per half second on. The second node stands in: with the full rate once the first has proved that it grants nothing, else with a third of the tolerated excess. A ledger that begins anew grants only that third for the two seconds in which nodes may disagree. Over the quota a caller gets 429 with the time until there may be room; a request that did not run gives its credit back.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -20,6 +20,9 @@
 // Client sends control messages to other nodes.
 type Client struct {
 	dialer *link.Dialer
+	// keepsLinks reports that a link stays open after a timeout, since it carries other
+	// streams.
+	keepsLinks bool
 }
 
 // NewClient returns a client over a dialer of the control class.
@@ -27,6 +30,12 @@
 	return &Client{dialer: dialer}
 }
 
+// NewSharedClient returns a client over a dialer whose links carry requests as well. It
+// closes no link.
+func NewSharedClient(dialer *link.Dialer) *Client {
+	return &Client{dialer: dialer, keepsLinks: true}
+}
+
 // Gossip sends a gossip message and returns the one that the peer answers with.
 func (c *Client) Gossip(ctx context.Context, address string, m *wire.Gossip) (*wire.Gossip, error) {
 	answer := &wire.Gossip{}
@@ -67,6 +76,13 @@
 	return c.exchange(ctx, address, &wire.Opening{Kind: &wire.Opening_CrashNotice{CrashNotice: m}}, &wire.CrashNotice{})
 }
 
+// Credits asks a node for credits of a workspace's quota.
+func (c *Client) Credits(ctx context.Context, address string, m *wire.CreditRequest) (*wire.CreditAnswer, error) {
+	answer := &wire.CreditAnswer{}
+	err := c.exchange(ctx, address, &wire.Opening{Kind: &wire.Opening_CreditRequest{CreditRequest: m}}, answer)
+	return answer, err
+}
+
 func (c *Client) exchange(ctx context.Context, address string, opening *wire.Opening, answer proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -79,7 +95,7 @@
 	if err == nil {
 		err = stream.Receive(answer)
 	}
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err != nil && !c.keepsLinks && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.dialer.Drop(address)
 	}
 	return err
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -4,9 +4,11 @@
 
 // Sentinel errors of this package.
 var (
-	ErrFrameTooLong   = eris.New("message is longer than the maximum frame size")
-	ErrMalformed      = eris.New("message cannot be decoded")
-	ErrUnreachable    = eris.New("peer is unreachable")
+	ErrFrameTooLong = eris.New("message is longer than the maximum frame size")
+	ErrMalformed    = eris.New("message cannot be decoded")
+	ErrUnreachable  = eris.New("peer is unreachable")
+	// ErrNoListener is an ErrUnreachable: the peer's host answers, but no process listens.
+	ErrNoListener     = eris.Wrap(ErrUnreachable, "no process listens")
 	ErrProtocol       = eris.New("peer supports no common protocol version")
 	ErrUnexpectedKind = eris.New("stream opening has an unexpected kind")
 	ErrClosed         = eris.New("link is closed")
--- a/internal/link/outgoing.go
+++ b/internal/link/outgoing.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -17,9 +19,11 @@
 	lastUsedAt    atomic.Int64 // when a session was last requested, in Unix nanoseconds
 	bootMillis    atomic.Int64 // the peer's BootMillis at the last successful dial
 
-	dialMu   sync.Mutex // serialises dials; guards backoff and nextDial
+	dialMu   sync.Mutex // serialises dials; guards the fields below
 	backoff  time.Duration
 	nextDial time.Time
+	// dialErr is ErrUnreachable or ErrNoListener, after the last failed dial.
+	dialErr error
 }
 
 // session returns the active session or dials a new one. During the backoff after
@@ -35,13 +39,17 @@
 		return session, nil
 	}
 	if time.Now().Before(o.nextDial) {
-		return nil, eris.Wrapf(ErrUnreachable, "%s: waiting to redial", o.address)
+		return nil, eris.Wrapf(o.dialErr, "%s: waiting to redial", o.address)
 	}
 	session, bootMillis, err := d.dial(ctx, o.address)
 	if err != nil {
 		o.backoff = decorrelatedJitter(d.cfg.RedialBackoffBase, o.backoff, d.cfg.RedialBackoffMax)
 		o.nextDial = time.Now().Add(o.backoff)
-		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", o.address, err)
+		o.dialErr = ErrUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			o.dialErr = ErrNoListener
+		}
+		return nil, eris.Wrapf(o.dialErr, "%s: %v", o.address, err)
 	}
 	o.backoff = 0
 	o.bootMillis.Store(bootMillis)
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,168 @@
+package quota
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"boragefall/internal/mesh"
+)
+
+const (
+	// SettleTime is how long a node may differ from others in the servers that it knows,
+	// and so in the home of a workspace.
+	SettleTime = 2 * time.Second
+	// successionGap is the time without a request to a successor after which it starts
+	// anew, since the home may have granted meanwhile.
+	successionGap = time.Second
+	// minRetry is the shortest time after which an entry asks again for credits that it
+	// did not get. It bounds the requests of many entries for a workspace that sends far
+	// more than its quota.
+	minRetry = 200 * time.Millisecond
+)
+
+// Role is the role in which a node is asked for credits.
+type Role uint8
+
+// Roles of a ledger for a workspace.
+const (
+	// RoleHome is the node that ranks first.
+	RoleHome Role = iota
+	// RoleStandIn is the second node while the first does not answer. The first may be
+	// granting credits to other entries, so the stand-in grants only what may exceed the
+	// quota.
+	RoleStandIn
+	// RoleSuccessor is the second node after the first has proved that it grants nothing.
+	RoleSuccessor
+)
+
+// Request asks for credits.
+type Request struct {
+	// Workspace names the workspace, and Quota is its quota.
+	Workspace string
+	Quota     mesh.Quota
+	// Wanted is the number of credits.
+	Wanted int
+	Role   Role
+	// HomeSince is the time since which the node has ranked first, in RoleHome.
+	HomeSince time.Time
+}
+
+// Grant is the answer to a Request.
+type Grant struct {
+	// Credits is the number of requests permitted.
+	Credits int
+	// RetryIn is the time until there may be a further credit; 0 if all were granted.
+	RetryIn time.Duration
+}
+
+// Ledger keeps the token buckets of the workspaces of which this node is the home or the
+// second node. It is not safe for concurrent use.
+type Ledger struct {
+	tolerance Tolerance
+	books     map[string]*book
+}
+
+// book is what a ledger knows of one workspace.
+type book struct {
+	quota mesh.Quota
+	// bucket holds the quota's credits. It starts empty, since another node may have
+	// granted the burst.
+	bucket *rate.Limiter
+	// reserve holds the credits that may be granted beside another ledger.
+	reserve *rate.Limiter
+	usedAt  time.Time
+	// succeededAt is the last request in RoleSuccessor.
+	succeededAt time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(t Tolerance) *Ledger {
+	return &Ledger{tolerance: t, books: map[string]*book{}}
+}
+
+// Grant grants credits.
+func (l *Ledger) Grant(r Request, now time.Time) Grant {
+	b := l.bookOf(r, now)
+	b.usedAt = now
+	limiter := b.bucket
+	switch r.Role {
+	case RoleStandIn:
+		limiter = b.reserve
+	case RoleSuccessor:
+		if now.Sub(b.succeededAt) > successionGap {
+			drain(b.bucket, now)
+		}
+		b.succeededAt = now
+	case RoleHome:
+		if now.Sub(r.HomeSince) < SettleTime {
+			limiter = b.reserve
+			drain(b.bucket, now)
+		}
+	}
+	return take(limiter, r.Wanted, now)
+}
+
+// Forget discards the workspaces that were not asked for since a time. A bucket that was
+// idle for a window would be full, and starts empty the next time.
+func (l *Ledger) Forget(before time.Time) {
+	for name, b := range l.books {
+		if b.usedAt.Before(before) {
+			delete(l.books, name)
+		}
+	}
+}
+
+func (l *Ledger) bookOf(r Request, now time.Time) *book {
+	b := l.books[r.Workspace]
+	if b == nil {
+		part := l.tolerance.part(r.Quota)
+		b = &book{
+			quota:   r.Quota,
+			bucket:  rate.NewLimiter(rate.Limit(r.Quota.Rate), burst(r.Quota.Burst+part)),
+			reserve: rate.NewLimiter(rate.Limit(part/l.tolerance.Window.Seconds()), burst(part)),
+		}
+		if r.Role != RoleHome || now.Sub(r.HomeSince) < SettleTime+l.tolerance.Window {
+			drain(b.bucket, now)
+		}
+		l.books[r.Workspace] = b
+		return b
+	}
+	if b.quota != r.Quota {
+		part := l.tolerance.part(r.Quota)
+		b.quota = r.Quota
+		b.bucket.SetLimitAt(now, rate.Limit(r.Quota.Rate))
+		b.bucket.SetBurstAt(now, burst(r.Quota.Burst+part))
+		b.reserve.SetLimitAt(now, rate.Limit(part/l.tolerance.Window.Seconds()))
+		b.reserve.SetBurstAt(now, burst(part))
+	}
+	return b
+}
+
+// burst returns the capacity of a bucket. A capacity below one credit would never grant
+// any.
+func burst(credits float64) int {
+	return max(int(credits), 1)
+}
+
+// drain empties a bucket.
+func drain(l *rate.Limiter, now time.Time) {
+	if credits := int(l.TokensAt(now)); credits > 0 {
+		l.AllowN(now, credits)
+	}
+}
+
+// take takes as many of the wanted credits as there are.
+func take(l *rate.Limiter, wanted int, now time.Time) Grant {
+	available := l.TokensAt(now)
+	credits := max(min(wanted, int(available)), 0)
+	if credits > 0 && !l.AllowN(now, credits) {
+		credits = 0
+	}
+	if credits == wanted {
+		return Grant{Credits: credits}
+	}
+	missing := 1 - (available - float64(credits))
+	retryIn := time.Duration(missing / max(float64(l.Limit()), 1e-3) * float64(time.Second))
+	return Grant{Credits: credits, RetryIn: max(retryIn, minRetry)}
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -52,6 +52,7 @@
 	// CopyAge bounds the age of the view that a later call of View returns.
 	CopyAge       copyAge
 	Headers       protocol.CallerCodec
+	Quotas        *quotaGuard
 	Bodies        *intake.BodyBuffer
 	Dispatcher    *Dispatcher
 	Splitter      *trafficSplitter
@@ -109,6 +110,19 @@
 	if refusal := x.matchRoute(headers); refusal != nil {
 		return refusal
 	}
+	if refusal := x.entry.Quotas.Admit(x.c.Request.Context(), x.workspace); refusal != nil {
+		return refusal
+	}
+	refusal := x.dispatch(headers)
+	if refusal != nil && refusal.Verdict == verdict.NotRun {
+		x.entry.Quotas.Refund(x.workspace)
+	}
+	return refusal
+}
+
+// dispatch receives the body and sends the request. It returns a refusal only if nothing
+// was written yet.
+func (x *callerRequest) dispatch(headers protocol.CallerRequest) *verdict.Error {
 	body, err := x.entry.Bodies.Receive(intake.NewHTTPSource(x.c.Writer, x.c.Request), x.c.Request.ContentLength)
 	if err != nil {
 		return verdict.FromError(err)
@@ -296,7 +310,7 @@
 		version = view.Config.Version
 	}
 	x.entry.Logger.Info().Str("part", "entry").Str("request", x.request.ID).Str("route", x.request.Route).
-		Str("service", x.request.Service).Int("status", status).Str("verdict", e.Verdict.String()).
+		Str("service", x.request.Service).Str("workspace", x.workspaceName()).Int("status", status).Str("verdict", e.Verdict.String()).
 		Str("reason", e.Reason.String()).AnErr("cause", e.Cause).Dur("retry_after", e.RetryAfter).
 		Dur("took", time.Since(x.started)).Uint64("config", version).Uint64("revision", view.Revision).
 		Msg(decisions.MessageRefused)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,7 +27,9 @@
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
 	"boragefall/internal/link"
+	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
+	"boragefall/internal/quota"
 	"boragefall/internal/serverconn"
 	"boragefall/internal/settings"
 	"boragefall/internal/telemetry"
@@ -105,7 +107,7 @@
 		fx.Supply(s, o, o.Platform, o.Logger),
 		fx.Provide(
 			newCatalog, newMetrics, newIdentity, newDialers, newPeerDirectory, newNotifyingCrashTracker, newServerClient, newLastHop,
-			newDispatcher, newEntry, newCallersServer, newFeed, newStreamServer, newStopper, newNodeState,
+			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newStopper, newNodeState,
 		),
 		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
 		fx.Populate(&n.stopper, &n.peers),
@@ -257,11 +259,26 @@
 	}
 }
 
-func newEntry(s settings.Settings, p Platform, c *catalog.Catalog, store *feed.Feed, d *Dispatcher, m *telemetry.Metrics, f *nodeState, logger *log.Logger) *Entry {
+func provideQuotaLedger(s settings.Settings, c *catalog.Catalog, n *peerDirectory, state *nodeState) *quotaLedger {
+	workspace := func(name string) *mesh.Workspace {
+		if view := c.View(); view.Config != nil && view.Config.Workspaces != nil {
+			return view.Config.Workspaces.Find(name)
+		}
+		return nil
+	}
+	tolerance := quota.Tolerance{Window: s.QuotaWindow, Overshoot: s.QuotaOvershoot, Slack: s.QuotaSlack}
+	return newQuotaLedger(s.LinkListen, n.linkPort, tolerance, workspace, &state.stopping)
+}
+
+func provideQuotaGuard(s settings.Settings, ledger *quotaLedger, d dialers, logger *log.Logger) *quotaGuard {
+	return newQuotaGuard(s.LinkListen, ledger, control.NewSharedClient(d.requests), logger)
+}
+
+func newEntry(s settings.Settings, p Platform, c *catalog.Catalog, store *feed.Feed, quotas *quotaGuard, d *Dispatcher, m *telemetry.Metrics, f *nodeState, logger *log.Logger) *Entry {
 	return &Entry{
 		Origin: s.Service, View: c.View,
 		CopyAge: copyAge{proven: store.ProvenAge, propagationLimit: s.ConfigPropagationLimit, revocationLimit: s.KeyRevocationLimit},
-		Headers: p.Headers, Dispatcher: d, Splitter: newTrafficSplitter(), CallerRetries: newCallerRetries(), Meter: m,
+		Headers: p.Headers, Quotas: quotas, Dispatcher: d, Splitter: newTrafficSplitter(), CallerRetries: newCallerRetries(), Meter: m,
 		Bodies: intake.NewBodyBuffer(intake.BodyConfig{Budget: int64(s.MemoryMB) << 20 / callerBodyMemoryDivisor}),
 		Logger: logger, Stopping: &f.stopping, InFlight: &f.callerRequests,
 	}
@@ -271,7 +288,7 @@
 	return feed.New(feed.Config{}, p.Store, n, c, m, logger)
 }
 
-func newStreamServer(self link.Identity, hop *LastHop, p *crashTracker, c *catalog.Catalog, f *feed.Feed, state *nodeState, logger *log.Logger) *streamServer {
+func newStreamServer(self link.Identity, hop *LastHop, p *crashTracker, c *catalog.Catalog, f *feed.Feed, quotas *quotaLedger, state *nodeState, logger *log.Logger) *streamServer {
 	version := func() config.Version {
 		if view := c.View(); view.Config != nil {
 			return config.Version{Revision: view.Config.Version}
@@ -280,13 +297,14 @@
 	}
 	return &streamServer{
 		requests: exchange.NewServer(hop, version, logger), serving: &state.peerRequests, bootMillis: self.BootMillis,
-		hop: hop, crashes: p, catalog: c, feed: f, encoder: newStateEncoder(), logger: logger,
+		hop: hop, crashes: p, catalog: c, feed: f, quotas: quotas, encoder: newStateEncoder(), logger: logger,
 	}
 }
 
-func followCatalog(c *catalog.Catalog, hop *LastHop, n *peerDirectory) {
+func followCatalog(c *catalog.Catalog, hop *LastHop, n *peerDirectory, quotas *quotaLedger) {
 	c.OnChange(hop.Update)
 	c.OnChange(n.update)
+	c.OnChange(quotas.update)
 }
 
 func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, logger *log.Logger) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -129,6 +129,7 @@
 	crashes    *crashTracker
 	catalog    *catalog.Catalog
 	feed       *feed.Feed
+	quotas     *quotaLedger
 	encoder    *stateEncoder
 	logger     *log.Logger
 }
@@ -145,6 +146,8 @@
 		s.reply(stream, s.stateAnswer(ctx, opening.GetStateQuery()))
 	case opening.GetBar() != nil:
 		s.reply(stream, &wire.BarAnswer{HandedOver: s.hop.Fence(opening.GetBar().GetId()), BootMillis: s.bootMillis})
+	case opening.GetCreditRequest() != nil:
+		s.reply(stream, s.quotas.answer(opening.GetCreditRequest()))
 	case opening.GetCrashNotice() != nil:
 		for _, fingerprint := range opening.GetCrashNotice().GetFingerprints() {
 			s.crashes.recordCrash(fingerprint, time.Now())
--- /dev/null
+++ b/internal/sidecar/quotaguard_test.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"boragefall/internal/link"
+	"boragefall/internal/mesh"
+	"boragefall/internal/quota"
+	"boragefall/internal/telemetry"
+	"boragefall/internal/verdict"
+	"boragefall/internal/wire"
+)
+
+// quotaWorld is one entry and the ledgers of two other nodes.
+type quotaWorld struct {
+	Gomega
+	guard     *quotaGuard
+	workspace *mesh.Workspace
+	ledgers   map[string]*quotaLedger
+	stopping  map[string]*atomic.Bool
+
+	mu sync.Mutex
+	// failures holds the error of each node that can't be reached.
+	failures map[string]error
+	roles    []quota.Role
+}
+
+func newQuotaWorld(t *testing.T) *quotaWorld {
+	w := &quotaWorld{
+		Gomega: NewWithT(t), workspace: &mesh.Workspace{Name: "north", Quota: mesh.Quota{Rate: 10, Burst: 10}},
+		ledgers: map[string]*quotaLedger{}, stopping: map[string]*atomic.Bool{}, failures: map[string]error{},
+	}
+	members := []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+	homes := quota.NewHomes(members, nil, time.Now().Add(-time.Hour))
+	ledgerOf := func(self string) *quotaLedger {
+		w.stopping[self] = &atomic.Bool{}
+		l := newQuotaLedger(self, "7000", quota.Tolerance{Window: 5 * time.Second, Overshoot: 0.25, Slack: 20}, func(name string) *mesh.Workspace {
+			if name == w.workspace.Name {
+				return w.workspace
+			}
+			return nil
+		}, w.stopping[self])
+		l.homes.Store(homes)
+		return l
+	}
+	for _, m := range members {
+		w.ledgers[m] = ledgerOf(m)
+	}
+	entry := ledgerOf("10.0.0.3:7000")
+	w.guard = newQuotaGuard("10.0.0.3:7000", entry, w, telemetry.Silent())
+	return w
+}
+
+// Credits answers as the node at an address.
+func (w *quotaWorld) Credits(_ context.Context, address string, m *wire.CreditRequest) (*wire.CreditAnswer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.failures[address]; err != nil {
+		return nil, err
+	}
+	w.roles = append(w.roles, quota.Role(m.GetRole()))
+	return w.ledgers[address].answer(m), nil
+}
+
+func (w *quotaWorld) nodes() (first, second string) {
+	return w.guard.local.rank(w.workspace.Name)
+}
+
+// admitted returns how many of a number of requests are admitted at once, and the last
+// refusal.
+func (w *quotaWorld) admitted(requests int) (int, *verdict.Error) {
+	var last *verdict.Error
+	count := 0
+	for range requests {
+		refusal := w.guard.Admit(context.Background(), w.workspace)
+		if refusal == nil {
+			count++
+			continue
+		}
+		last = refusal
+	}
+	return count, last
+}
+
+func TestRequestsBeyondQuotaAreRefusedAsNotRun(t *testing.T) {
+	w := newQuotaWorld(t)
+	count, refusal := w.admitted(100)
+	// The burst and a third of the tolerated excess.
+	w.Expect(count).To(BeNumerically("~", 21, 3))
+	w.Expect(refusal.Reason).To(Equal(verdict.ReasonOverQuota))
+	w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+	w.Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+}
+
+func TestRefundedRequestIsNotCharged(t *testing.T) {
+	w := newQuotaWorld(t)
+	for range 200 {
+		w.Expect(w.guard.Admit(context.Background(), w.workspace)).To(BeNil())
+		w.guard.Refund(w.workspace)
+	}
+}
+
+func TestWorkspaceWithoutQuotaIsNotLimited(t *testing.T) {
+	w := newQuotaWorld(t)
+	w.workspace.Quota = mesh.Quota{}
+	count, _ := w.admitted(100)
+	w.Expect(count).To(Equal(100))
+	w.Expect(w.guard.Admit(context.Background(), nil)).To(BeNil(), "a public route has no workspace")
+}
+
+// A stopping node or a host without a process grants nothing, so the second node may
+// grant the quota; beside a silent one it may grant only the tolerated excess.
+func TestSecondNodeGrantsByWhatIsKnownOfTheFirst(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(w *quotaWorld, first string)
+		want quota.Role
+	}{
+		{"stopping", func(w *quotaWorld, first string) { w.stopping[first].Store(true) }, quota.RoleSuccessor},
+		{"no process", func(w *quotaWorld, first string) { w.failures[first] = link.ErrNoListener }, quota.RoleSuccessor},
+		{"silent", func(w *quotaWorld, first string) { w.failures[first] = link.ErrUnreachable }, quota.RoleStandIn},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newQuotaWorld(t)
+			first, _ := w.nodes()
+			c.fail(w, first)
+			_, _ = w.admitted(1)
+			w.Expect(w.roles[len(w.roles)-1]).To(Equal(c.want))
+		})
+	}
+}
+
+func TestNoRequestIsAdmittedWhenNoNodeKeepsTheQuota(t *testing.T) {
+	w := newQuotaWorld(t)
+	first, second := w.nodes()
+	w.failures[first], w.failures[second] = link.ErrUnreachable, link.ErrUnreachable
+	count, refusal := w.admitted(10)
+	w.Expect(count).To(BeZero())
+	w.Expect(refusal.Reason).To(Equal(verdict.ReasonLacksResource))
+	w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+}
+
+func TestConcurrentRequestsShareOneRequestForCredits(t *testing.T) {
+	w := newQuotaWorld(t)
+	var work sync.WaitGroup
+	var admitted atomic.Int64
+	for range 50 {
+		work.Go(func() {
+			if w.guard.Admit(context.Background(), w.workspace) == nil {
+				admitted.Add(1)
+			}
+		})
+	}
+	work.Wait()
+	w.Expect(admitted.Load()).To(BeNumerically("~", 21, 3))
+	w.Expect(len(w.roles)).To(BeNumerically("<=", 50))
+}
