Weigh bytes between data centres in service times; vary only what is uncertain

Cause: the cost of a kilobyte to another data centre was 15 ms whatever the work. The random variation of a server's cost is a share of the work, and it applied to the cost of the bytes as well: with work of 310 and 400 ms instead of 160 and 210 an order of 4 KB crossed by chance.

Change: a kilobyte costs 0.15 mean service times of the service, and a request has 1 KB of headers and framing; the variation applies to the expected time only.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// transferCostPerKB is the cost of a kilobyte sent between data centres, as waiting
-	// time: such bytes are billed, those within a data centre are not.
-	transferCostPerKB = 15 * time.Millisecond
+	// transferCostPerKB is the cost of a kilobyte sent between data centres, in service
+	// times: such bytes are billed, those within a data centre are not, and a longer wait
+	// matters less to requests that take longer.
+	transferCostPerKB = 0.15
+	// requestOverheadKB is the size of the headers and framing of a request and its
+	// answer.
+	requestOverheadKB = 1
 	// maxTransferCost bounds the transfer cost below lateCost, so that a request which
 	// its own data centre would serve late goes to another one that serves it in time.
 	maxTransferCost = 4 * time.Second
@@ -298,14 +302,14 @@
 		// A host that lost power or hangs sends no answer.
 		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*serviceTime.Seconds(), 0)
 	}
+	cost *= 1 + costJitter*(2*b.random()-1)
 	if l.DataCentre != b.dataCentre {
-		kilobytes := float64(max(r.BodyBytes, 0)+r.AnswerBytes) / 1024
-		cost += dataCentreRoundTrip.Seconds() + min(transferCostPerKB.Seconds()*kilobytes, maxTransferCost.Seconds())
+		kilobytes := requestOverheadKB + float64(max(r.BodyBytes, 0)+r.AnswerBytes)/1024
+		cost += dataCentreRoundTrip.Seconds() + min(transferCostPerKB*meanServiceTime.Seconds()*kilobytes, maxTransferCost.Seconds())
 	}
 	if l.Suspect {
 		cost += suspectCost.Seconds()
 	}
-	cost *= 1 + costJitter*(2*b.random()-1)
 	return cost + b.availabilityCost(l, s, r, now)
 }
 
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -104,6 +104,27 @@
 	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
 }
 
+// Orders of 4 KB whose work takes 310 ms crossed to other data centres by chance when the
+// cost of their bytes was a fixed time: the random variation of the cost grew with their
+// work, the cost of the bytes did not.
+func TestOrdersStayInTheirDataCentreWhateverTheirWork(t *testing.T) {
+	for _, work := range []time.Duration{70 * time.Millisecond, 160 * time.Millisecond, 310 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(work.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			servers := listed("north", "north", "south", "south", "west", "west")
+			loads := map[mesh.ServerID]*contract.Load{}
+			for i, l := range servers {
+				loads[l.ID] = &contract.Load{Running: 7, Limit: 9, State: host.StateWarm, ServiceTime: work}
+				if i >= 2 {
+					loads[l.ID].Running = 3
+				}
+			}
+			got := countChoices(newBalancer(), servers, Request{BodyBytes: 4000, AnswerBytes: 400}, loads, 400, 10*time.Millisecond)
+			g.Expect(got["a0"]+got["a1"]).To(BeNumerically(">=", 380), "%v", got)
+		})
+	}
+}
+
 // Archives of 90 KB must not be fetched from any data centre with a free slot: bytes
 // between data centres were the largest cost of each day of vfsd-mesh.
 func TestLargeAnswersStayInTheirDataCentreWhileItHasCapacity(t *testing.T) {
