Keep quotas in service while their home is slow, silent or restarted

The tolerated excess is split anew: 0.6 of it is the initial credit of a ledger that begins anew, at most what the quota gives in the two seconds that it lasts.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -14,6 +14,9 @@
 	minPortion = 2
 	// creditLifetime is how long an unused credit is valid after the last grant.
 	creditLifetime = time.Second
+	// slowGrant is the time that a request for credits takes from which credits are taken
+	// in advance at any rate, since callers would wait for each of them.
+	slowGrant = 50 * time.Millisecond
 	// usageDecay is the time constant of the entry's rate of requests.
 	usageDecay = time.Second
 )
@@ -27,6 +30,8 @@
 	// usage is a decayed count of requests.
 	usage   float64
 	usageAt time.Time
+	// grantTime is the time that the last request for credits took.
+	grantTime time.Duration
 }
 
 // Count counts a request, whether or not it gets a credit.
@@ -41,13 +46,19 @@
 
 // portion returns the number of credits to hold in advance.
 func (a *Account) portion(now time.Time) int {
-	portion := int(a.usage * a.decay(now) / usageDecay.Seconds() * portionTime.Seconds())
-	if portion < minPortion {
+	ahead := max(portionTime, 2*a.grantTime)
+	portion := int(a.usage * a.decay(now) / usageDecay.Seconds() * ahead.Seconds())
+	if portion < minPortion && a.grantTime < slowGrant {
 		return 0
 	}
 	return portion
 }
 
+// RecordGrantTime records the time that a request for credits took.
+func (a *Account) RecordGrantTime(took time.Duration) {
+	a.grantTime = took
+}
+
 // Take uses a credit. It reports false if there is none.
 func (a *Account) Take(now time.Time) bool {
 	if a.credits == 0 || now.After(a.expiresAt) {
@@ -75,6 +86,7 @@
 func (a *Account) Add(g Grant, now time.Time) {
 	a.credits += g.Credits
 	a.expiresAt = now.Add(creditLifetime)
+	a.refusedUntil = time.Time{}
 	if g.RetryIn > 0 {
 		a.refusedUntil = now.Add(g.RetryIn)
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -121,11 +121,11 @@
 func (l *Ledger) bookOf(r Request, now time.Time) *book {
 	b := l.books[r.Workspace]
 	if b == nil {
-		part := l.tolerance.part(r.Quota)
+		initial, perSecond := l.tolerance.reserve(r.Quota)
 		b = &book{
 			quota:   r.Quota,
-			bucket:  rate.NewLimiter(rate.Limit(r.Quota.Rate), burst(r.Quota.Burst+part)),
-			reserve: rate.NewLimiter(rate.Limit(part/l.tolerance.Window.Seconds()), burst(part)),
+			bucket:  rate.NewLimiter(rate.Limit(r.Quota.Rate), capacity(l.tolerance.burst(r.Quota))),
+			reserve: rate.NewLimiter(rate.Limit(perSecond), capacity(initial)),
 		}
 		if r.Role != RoleHome || now.Sub(r.HomeSince) < SettleTime+l.tolerance.Window {
 			drain(b.bucket, now)
@@ -134,19 +134,19 @@
 		return b
 	}
 	if b.quota != r.Quota {
-		part := l.tolerance.part(r.Quota)
+		initial, perSecond := l.tolerance.reserve(r.Quota)
 		b.quota = r.Quota
 		b.bucket.SetLimitAt(now, rate.Limit(r.Quota.Rate))
-		b.bucket.SetBurstAt(now, burst(r.Quota.Burst+part))
-		b.reserve.SetLimitAt(now, rate.Limit(part/l.tolerance.Window.Seconds()))
-		b.reserve.SetBurstAt(now, burst(part))
+		b.bucket.SetBurstAt(now, capacity(l.tolerance.burst(r.Quota)))
+		b.reserve.SetLimitAt(now, rate.Limit(perSecond))
+		b.reserve.SetBurstAt(now, capacity(initial))
 	}
 	return b
 }
 
-// burst returns the capacity of a bucket. A capacity below one credit would never grant
+// capacity returns the capacity of a bucket in whole credits. A capacity below one credit would never grant
 // any.
-func burst(credits float64) int {
+func capacity(credits float64) int {
 	return max(int(credits), 1)
 }
 
--- a/internal/quota/tolerance.go
+++ b/internal/quota/tolerance.go
@@ -10,11 +10,15 @@
 	"boragefall/internal/mesh"
 )
 
-// parts is the number of equal parts into which the tolerated excess is split. One part
-// adds to the burst, for the time between a caller's request and its credit; one each is
-// the initial credit and the refill of a ledger that must assume that another one is
-// still granting.
-const parts = 3
+// The excess that is tolerated in a window has three uses. jitterShare of it adds to the
+// burst, since requests reach the home at other intervals than callers sent them.
+// initialShare is the initial credit, and refillShare the refill, of a ledger that must
+// assume that another one is granting as well.
+const (
+	jitterShare  = 0.1
+	initialShare = 0.6
+	refillShare  = 0.3
+)
 
 // Tolerance is how much the operators let a workspace exceed its quota.
 type Tolerance struct {
@@ -25,9 +29,23 @@
 	Overshoot, Slack float64
 }
 
-// part returns one part of the tolerated excess in a window, in requests.
-func (t Tolerance) part(q mesh.Quota) float64 {
-	return (t.Overshoot*t.permitted(q) + t.Slack) / parts
+// excess returns the number of requests in a window that may exceed the quota.
+func (t Tolerance) excess(q mesh.Quota) float64 {
+	return t.Overshoot*t.permitted(q) + t.Slack
+}
+
+// burst returns the capacity of a workspace's bucket.
+func (t Tolerance) burst(q mesh.Quota) float64 {
+	return q.Burst + jitterShare*t.excess(q)
+}
+
+// reserve returns the credits that a ledger may grant beside another one: the initial
+// credit, and the refill per second. A small quota needs little for the time in which
+// ledgers may disagree, and a node may be restarted several times in a window.
+func (t Tolerance) reserve(q mesh.Quota) (initial, perSecond float64) {
+	excess := t.excess(q)
+	initial = min(initialShare*excess, q.Rate*SettleTime.Seconds()+1)
+	return initial, refillShare * excess / t.Window.Seconds()
 }
 
 // permitted returns the number of requests in a window that the quota itself permits.
@@ -37,5 +55,5 @@
 
 // Bound returns the greatest number of requests in a window.
 func (t Tolerance) Bound(q mesh.Quota) float64 {
-	return (1+t.Overshoot)*t.permitted(q) + t.Slack
+	return t.permitted(q) + t.excess(q)
 }
