Name the causes of 401, 429 and 503 by keys and quotas; test quotas in virtual time

Cause: a refusal for want of credits had the reason of a service without a server.

The guard's tests run in virtual time, with the same bounds; requests that wait together now have to share requests for credits.

--- a/internal/decisions/reason.go
+++ b/internal/decisions/reason.go
@@ -20,6 +20,10 @@
 	verdict.ReasonBodyTooLarge:   "the body is over the configuration's limit",
 	verdict.ReasonBadRequest:     "the request is malformed, or its body broke off",
 	verdict.ReasonRetryBudget:    "no repeat was left",
+	verdict.ReasonUnauthorized:   "no workspace of the configuration in force holds the key",
+	verdict.ReasonStaleConfig:    "the node's copy of the configuration may be out of date, so it can't tell whether the key or the route is valid",
+	verdict.ReasonOverQuota:      "the workspace had used up its quota",
+	verdict.ReasonQuotaUnknown:   "none of the nodes that keep the workspace's quota answered",
 }
 
 // Meaning describes a reason found in a log. It returns "" for a reason that nodes on
--- a/internal/sidecar/quotaguard.go
+++ b/internal/sidecar/quotaguard.go
@@ -153,7 +153,7 @@
 	if wait := a.account.RefusedFor(time.Now()); wait > 0 {
 		return verdict.Refuse(verdict.ReasonOverQuota, wait)
 	}
-	refusal := verdict.Refuse(verdict.ReasonLacksResource, noCreditsRetryAfter)
+	refusal := verdict.Refuse(verdict.ReasonQuotaUnknown, noCreditsRetryAfter)
 	refusal.Cause = errNoCredits
 	return refusal
 }
--- a/internal/sidecar/quotaguard_test.go
+++ b/internal/sidecar/quotaguard_test.go
@@ -34,6 +34,15 @@
 	roles  []quota.Role
 }
 
+// inQuotaWorld runs a test in a new world, in virtual time.
+func inQuotaWorld(t *testing.T, test func(w *quotaWorld)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(newQuotaWorld(t))
+		time.Sleep(creditTimeout) // the last requests for credits end
+	})
+}
+
 func newQuotaWorld(t *testing.T) *quotaWorld {
 	w := &quotaWorld{
 		Gomega: NewWithT(t), workspace: &mesh.Workspace{Name: "north", Quota: mesh.Quota{Rate: 10, Burst: 10}},
@@ -97,19 +106,19 @@
 }
 
 func TestRequestsBeyondQuotaAreRefusedAsNotRun(t *testing.T) {
-	w := newQuotaWorld(t)
-	count, refusal := w.admitted(100)
-	w.Expect(float64(count)).To(And(BeNumerically(">=", w.workspace.Quota.Burst), BeNumerically("<=", 1.5*w.workspace.Quota.Burst)))
-	w.Expect(refusal.Reason).To(Equal(verdict.ReasonOverQuota))
-	w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
-	w.Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	inQuotaWorld(t, func(w *quotaWorld) {
+		count, refusal := w.admitted(100)
+		w.Expect(float64(count)).To(And(BeNumerically(">=", w.workspace.Quota.Burst), BeNumerically("<=", 1.5*w.workspace.Quota.Burst)))
+		w.Expect(refusal.Reason).To(Equal(verdict.ReasonOverQuota))
+		w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+		w.Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
 }
 
 // The first node answers late again and again, as a slow host does. Its credits count
 // nevertheless, so that the workspace is not left with the second node's reserve.
 func TestLateCreditsOfSlowNodeAreUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newQuotaWorld(t)
+	inQuotaWorld(t, func(w *quotaWorld) {
 		w.workspace.Quota = mesh.Quota{Rate: 40, Burst: 40}
 		first, _ := w.nodes()
 		w.delays[first] = 4 * secondAfter
@@ -125,25 +134,26 @@
 			time.Sleep(interval)
 		}
 		work.Wait()
-		time.Sleep(creditTimeout) // the last requests for credits end
 		w.Expect(admitted.Load()).To(BeNumerically(">=", 0.95*requests))
 	})
 }
 
 func TestRefundedRequestIsNotCharged(t *testing.T) {
-	w := newQuotaWorld(t)
-	for range 200 {
-		w.Expect(w.guard.Admit(context.Background(), w.workspace)).To(BeNil())
-		w.guard.Refund(w.workspace)
-	}
+	inQuotaWorld(t, func(w *quotaWorld) {
+		for range 200 {
+			w.Expect(w.guard.Admit(context.Background(), w.workspace)).To(BeNil())
+			w.guard.Refund(w.workspace)
+		}
+	})
 }
 
 func TestWorkspaceWithoutQuotaIsNotLimited(t *testing.T) {
-	w := newQuotaWorld(t)
-	w.workspace.Quota = mesh.Quota{}
-	count, _ := w.admitted(100)
-	w.Expect(count).To(Equal(100))
-	w.Expect(w.guard.Admit(context.Background(), nil)).To(BeNil(), "a public route has no workspace")
+	inQuotaWorld(t, func(w *quotaWorld) {
+		w.workspace.Quota = mesh.Quota{}
+		count, _ := w.admitted(100)
+		w.Expect(count).To(Equal(100))
+		w.Expect(w.guard.Admit(context.Background(), nil)).To(BeNil(), "a public route has no workspace")
+	})
 }
 
 // A stopping node or a host without a process grants nothing, so the second node may
@@ -159,37 +169,43 @@
 		{"silent", func(w *quotaWorld, first string) { w.failures[first] = link.ErrUnreachable }, quota.RoleStandIn},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newQuotaWorld(t)
-			first, _ := w.nodes()
-			c.fail(w, first)
-			_, _ = w.admitted(1)
-			w.Expect(w.roles[len(w.roles)-1]).To(Equal(c.want))
+			inQuotaWorld(t, func(w *quotaWorld) {
+				first, _ := w.nodes()
+				c.fail(w, first)
+				_, _ = w.admitted(1)
+				w.Expect(w.roles[len(w.roles)-1]).To(Equal(c.want))
+			})
 		})
 	}
 }
 
 func TestNoRequestIsAdmittedWhenNoNodeKeepsTheQuota(t *testing.T) {
-	w := newQuotaWorld(t)
-	first, second := w.nodes()
-	w.failures[first], w.failures[second] = link.ErrUnreachable, link.ErrUnreachable
-	count, refusal := w.admitted(10)
-	w.Expect(count).To(BeZero())
-	w.Expect(refusal.Reason).To(Equal(verdict.ReasonLacksResource))
-	w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+	inQuotaWorld(t, func(w *quotaWorld) {
+		first, second := w.nodes()
+		w.failures[first], w.failures[second] = link.ErrUnreachable, link.ErrUnreachable
+		count, refusal := w.admitted(10)
+		w.Expect(count).To(BeZero())
+		w.Expect(refusal.Reason).To(Equal(verdict.ReasonQuotaUnknown))
+		w.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+	})
 }
 
-func TestConcurrentRequestsShareOneRequestForCredits(t *testing.T) {
-	w := newQuotaWorld(t)
-	var work sync.WaitGroup
-	var admitted atomic.Int64
-	for range 50 {
-		work.Go(func() {
-			if w.guard.Admit(context.Background(), w.workspace) == nil {
-				admitted.Add(1)
-			}
-		})
-	}
-	work.Wait()
-	w.Expect(float64(admitted.Load())).To(And(BeNumerically(">=", w.workspace.Quota.Burst), BeNumerically("<=", 1.5*w.workspace.Quota.Burst)))
-	w.Expect(len(w.roles)).To(BeNumerically("<=", 50))
+func TestConcurrentRequestsShareRequestsForCredits(t *testing.T) {
+	inQuotaWorld(t, func(w *quotaWorld) {
+		first, _ := w.nodes()
+		w.delays[first] = time.Millisecond
+		const requests = 50
+		var work sync.WaitGroup
+		var admitted atomic.Int64
+		for range requests {
+			work.Go(func() {
+				if w.guard.Admit(context.Background(), w.workspace) == nil {
+					admitted.Add(1)
+				}
+			})
+		}
+		work.Wait()
+		w.Expect(float64(admitted.Load())).To(And(BeNumerically(">=", w.workspace.Quota.Burst), BeNumerically("<=", 1.5*w.workspace.Quota.Burst)))
+		w.Expect(len(w.roles)).To(BeNumerically("<=", requests/10), "requests for credits")
+	})
 }
--- a/internal/verdict/error.go
+++ b/internal/verdict/error.go
@@ -39,6 +39,7 @@
 	ReasonUnauthorized          // no workspace holds the request's key
 	ReasonStaleConfig           // this node's configuration may be out of date
 	ReasonOverQuota             // the quota of the request's workspace is used up
+	ReasonQuotaUnknown          // no node that keeps the workspace's quota answered
 )
 
 var reasonTexts = [...]string{
@@ -48,6 +49,7 @@
 	"key-conflict", "key-required", "ledger-full", "answer-lost", "bad-request",
 	"body-too-large", "retry-budget", "server-refused",
 	"unauthorized", "stale-configuration", "over-quota",
+	"quota-unknown",
 }
 
 // String returns the reason's name in logs, metrics and headers.
