--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -211,3 +211,15 @@
 	a.Add(quota.Grant{Credits: 3}, epoch)
 	g.Expect(a.Take(epoch.Add(time.Minute))).To(BeFalse())
 }
+
+// BenchmarkGrant is the work of a home for one request for credits.
+func BenchmarkGrant(b *testing.B) {
+	l := quota.NewLedger(tolerance)
+	q := mesh.Quota{Rate: 100, Burst: 100}
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		l.Grant(quota.Request{Workspace: workspace, Quota: q, Wanted: 1, HomeSince: epoch.Add(-time.Hour)}, now)
+	}
+}
--- a/internal/sidecar/entry_test.go
+++ b/internal/sidecar/entry_test.go
@@ -134,3 +134,23 @@
 		})
 	}
 }
+
+// BenchmarkMatchRoute is the cost of a key: route and workspace of a request, without and
+// with one.
+func BenchmarkMatchRoute(b *testing.B) {
+	for name, key := range map[string]string{"public route": "", "key": "k1"} {
+		b.Run(name, func(b *testing.B) {
+			path := "/orders/1"
+			if key == "" {
+				path = "/calls/1"
+			}
+			w := newKeyWorld()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, refusal := w.match(path, key); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
