--- a/bench/main.go
+++ b/bench/main.go
@@ -42,7 +42,7 @@
 
 func root() *ffcli.Command {
 	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
-	commands := []*ffcli.Command{listCommand(), backendCommand()}
+	commands := []*ffcli.Command{listCommand(), backendCommand(), journalCommand()}
 	for _, e := range experiments() {
 		commands = append(commands, e.command())
 	}
