Count the time that a request was on its way against its deadline

Cause: a request carries the time that its caller has left, and the gate counted it from when it read the request.

Change: a request also carries a reading of its sender's clock. The receiver takes the smallest difference of the clocks over a minute or two as that of a message without delay and counts what exceeds it as time used. A gate refuses what is past its deadline as not run.

Measured: the new exchange spec and TestRequestPastItsDeadlineIsRefused fail on the old code.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
+	"boragefall/internal/bootclock"
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
 	"boragefall/internal/link"
@@ -33,11 +35,13 @@
 type Client struct {
 	dialer     *link.Dialer
 	propagator propagation.TraceContext
+	// id identifies this process to the meters of other nodes.
+	id uint64
 }
 
 // NewClient returns a client over a dialer of the request class.
 func NewClient(dialer *link.Dialer) *Client {
-	return &Client{dialer: dialer}
+	return &Client{dialer: dialer, id: max(rand.Uint64(), 1)}
 }
 
 // Do sends a request to the gate at an address. Its errors are *verdict.Error.
@@ -47,6 +51,7 @@
 	carrier := propagation.MapCarrier{}
 	c.propagator.Inject(ctx, carrier)
 	head := encodeRequest(r, carrier[traceParentHeader], time.Now())
+	head.Sender, head.SentMicros = c.id, bootclock.Now().Microseconds()
 	head.AwaitGo = r.ContentLength < 0 || r.ContentLength > continueThresholdBytes
 	opening := &wire.Opening{Kind: &wire.Opening_Request{Request: head}}
 	stream, err := c.dialer.Open(ctx, address, opening)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -97,6 +97,28 @@
 }
 
 var _ = Describe("an exchange", func() {
+	It("counts the time on the way against the deadline", func() {
+		var remaining []time.Duration
+		server := exchange.NewServer(runnerFunc(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+			remaining = append(remaining, r.Remaining(time.Now()))
+			return newAnswer(http.NoBody, 0), nil
+		}), func() config.Version { return config.Version{} }, telemetry.Silent())
+		late := time.Duration(0)
+		client, address := newClientAndServer(nil, func(head *wire.RequestHead, stream *link.Stream) {
+			head.SentMicros -= late.Microseconds()
+			server.Serve(context.Background(), head, stream)
+		})
+		for _, late = range []time.Duration{0, 7 * time.Second, 2 * time.Minute} {
+			answer, err := client.Do(context.Background(), address, newRequest(http.NoBody, 0))
+			if err == nil {
+				Expect(answer.Body.Close()).To(Succeed())
+			}
+		}
+		Expect(remaining[0]).To(BeNumerically("~", time.Minute, 10*time.Second))
+		Expect(remaining[1]).To(BeNumerically("~", 53*time.Second, 10*time.Second))
+		Expect(remaining[2]).To(BeNumerically("<", 0))
+	})
+
 	It("transfers a large body unchanged in both directions", func() {
 		data := randomBytes(5<<20 + 17)
 		client, address := newClientAndServer(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -12,9 +12,11 @@
 	"github.com/phuslu/log"
 	"go.opentelemetry.io/otel/propagation"
 
+	"boragefall/internal/bootclock"
 	"boragefall/internal/config"
 	"boragefall/internal/contract"
 	"boragefall/internal/link"
+	"boragefall/internal/transit"
 	"boragefall/internal/verdict"
 	"boragefall/internal/wire"
 )
@@ -32,18 +34,23 @@
 	version    func() config.Version
 	logger     *log.Logger
 	propagator propagation.TraceContext
+	// transit measures how long requests were on their way.
+	transit *transit.Meter
 }
 
 // NewServer returns a server that passes requests to a runner. version returns the
 // active configuration version, which refusals carry.
 func NewServer(runner Runner, version func() config.Version, logger *log.Logger) *Server {
-	return &Server{runner: runner, version: version, logger: logger}
+	return &Server{runner: runner, version: version, logger: logger, transit: transit.NewMeter()}
 }
 
 // Serve handles one request and returns when the exchange has ended.
 func (s *Server) Serve(ctx context.Context, head *wire.RequestHead, stream *link.Stream) {
 	receivedAt := time.Now()
-	r := decodeRequest(head, receivedAt)
+	// The time left counts from the sending: a host that is overloaded, or a link that was
+	// silent, may deliver a request seconds late.
+	delay := s.transit.Delay(head.GetSender(), time.Duration(head.GetSentMicros())*time.Microsecond, bootclock.Now())
+	r := decodeRequest(head, receivedAt.Add(-delay))
 	ctx = s.propagator.Extract(ctx, propagation.MapCarrier{traceParentHeader: head.GetTraceParent()})
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -207,7 +207,11 @@
 	if r.Service != h.service {
 		return verdict.Refuse(verdict.ReasonLacksResource, shortRetryAfter)
 	}
-	if h.crashes.quarantined(r.Fingerprint, time.Now()) {
+	now := time.Now()
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, nil)
+	}
+	if h.crashes.quarantined(r.Fingerprint, now) {
 		return verdict.Refuse(verdict.ReasonQuarantined, 0)
 	}
 	view := h.view()
--- a/internal/sidecar/lasthop_test.go
+++ b/internal/sidecar/lasthop_test.go
@@ -177,6 +177,17 @@
 	g.Expect(hop.check(r).Reason).To(Equal(verdict.ReasonLacksResource))
 }
 
+// A request that was on its way until its caller had left must not reach the server.
+func TestRequestPastItsDeadlineIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	r := requestTo("10.0.0.2", http.NoBody, 0)
+	r.Deadline = time.Now().Add(-time.Millisecond)
+	_, err := newTestHop(t, newTestView(1)).Run(context.Background(), r)
+	refusal := verdict.FromError(err)
+	g.Expect(refusal.Verdict).To(Equal(verdict.NotRun))
+	g.Expect(refusal.Reason).To(Equal(verdict.ReasonDeadline))
+}
+
 func TestStoppingNodeRefusesRequests(t *testing.T) {
 	g := NewWithT(t)
 	hop := newTestHop(t, newTestView(1))
