Ask gates that could not be reached once more

Change: once the last gate could not be reached, the gates that were tried are tried again, none more than twice.

Measured: TestGatesThatCouldNotBeReachedAreAskedAgain fails on the old code; TestGatesThatStayUnreachableAreAskedTwiceAtMost bounds it.

--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -57,6 +57,8 @@
 	attempts, serverRefusals int
 	reroutes                 int
 	tried                    []mesh.ServerID
+	// startedOver reports that all gates that were tried were made eligible again.
+	startedOver bool
 	// failedAnswer is a server's 5xx answer, kept while a retry is in progress.
 	failedAnswer *contract.Answer
 	// answeredBy is the server whose answer is forwarded.
@@ -293,8 +295,8 @@
 	t.failedAnswer, t.answeredBy = res.answer, res.listing.ID
 }
 
-// reroute tries another server after a refusal. When all were tried, those that refused
-// an immediate start are tried once more.
+// reroute tries another server after a refusal. When all were tried, some are tried once
+// more.
 func (t *task) reroute(ctx context.Context) (*contract.Answer, bool, *verdict.Error) {
 	t.reroutes++
 	if t.lastRefusal.Reason == verdict.ReasonQuarantined {
@@ -308,13 +310,23 @@
 		if (t.reroutes < maxPromptAttempts || t.request.AllowDelay) && t.startAttempt(ctx) == nil {
 			return nil, false, nil
 		}
-		if !t.request.AllowDelay && t.running == 0 && t.startQueued(ctx) == nil {
+		if t.running == 0 && t.mayStartOver() && t.startQueued(ctx) == nil {
 			return nil, false, nil
 		}
 	}
 	return t.finishUnlessRunning()
 }
 
+// mayStartOver reports whether gates that were tried may be tried again: those that refused
+// an immediate start may queue the request, and one that could not be reached may be
+// back. No gate is asked more than twice.
+func (t *task) mayStartOver() bool {
+	if !t.request.AllowDelay {
+		return true
+	}
+	return !t.startedOver && t.lastRefusal.Reason == verdict.ReasonUnreachable
+}
+
 // startQueued sends the request to a gate that may queue it, preferring the gates that
 // were not tried yet.
 func (t *task) startQueued(ctx context.Context) *verdict.Error {
@@ -322,7 +334,7 @@
 	if t.startAttempt(ctx) == nil {
 		return nil
 	}
-	t.tried = nil
+	t.tried, t.startedOver = nil, true
 	return t.startAttempt(ctx)
 }
 
