--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -59,17 +59,17 @@
 // Ledger keeps the token buckets of the workspaces of which this node is the home or the
 // second node. It is not safe for concurrent use.
 type Ledger struct {
-	tolerance Tolerance
-	books     map[string]*book
+	tolerance   Tolerance
+	byWorkspace map[string]*buckets
 }
 
-// book is what a ledger knows of one workspace.
-type book struct {
+// buckets are the token buckets of one workspace.
+type buckets struct {
 	quota mesh.Quota
-	// bucket holds the quota's credits. It starts empty, since another node may have
-	// granted the burst.
-	bucket *rate.Limiter
-	// reserve holds the credits that may be granted beside another ledger.
+	// main holds the credits of the quota itself. It starts empty if another node may just
+	// have granted them.
+	main *rate.Limiter
+	// reserve holds the credits that may be granted while another node grants as well.
 	reserve *rate.Limiter
 	usedAt  time.Time
 	// succeededAt is the last request in RoleSuccessor.
@@ -78,30 +78,30 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(t Tolerance) *Ledger {
-	return &Ledger{tolerance: t, books: map[string]*book{}}
+	return &Ledger{tolerance: t, byWorkspace: map[string]*buckets{}}
 }
 
 // Grant grants credits.
 func (l *Ledger) Grant(r Request, now time.Time) Grant {
-	b := l.bookOf(r, now)
+	b := l.bucketsOf(r, now)
 	b.usedAt = now
 	switch r.Role {
 	case RoleStandIn:
 		return take(b.reserve, r.Wanted, now)
 	case RoleSuccessor:
 		if now.Sub(b.succeededAt) > successionGap {
-			drain(b.bucket, now)
+			drain(b.main, now)
 		}
 		b.succeededAt = now
-		return take(b.bucket, r.Wanted, now)
+		return take(b.main, r.Wanted, now)
 	}
 	rankedFirst := now.Sub(r.HomeSince)
 	if rankedFirst < SettleTime {
-		drain(b.bucket, now)
+		drain(b.main, now)
 	}
-	g := take(b.bucket, r.Wanted, now)
+	g := take(b.main, r.Wanted, now)
 	if g.Credits < r.Wanted && rankedFirst < SettleTime+l.tolerance.Window {
-		// The bucket had to start empty; the reserve covers what it lacks at first.
+		// The main bucket had to start empty; the reserve covers what it lacks at first.
 		more := take(b.reserve, r.Wanted-g.Credits, now)
 		g = Grant{Credits: g.Credits + more.Credits, RetryIn: more.RetryIn}
 	}
@@ -111,41 +111,42 @@
 // Forget discards the workspaces that were not asked for since a time. Their buckets are
 // full by then.
 func (l *Ledger) Forget(before time.Time) {
-	for name, b := range l.books {
+	for name, b := range l.byWorkspace {
 		if b.usedAt.Before(before) {
-			delete(l.books, name)
+			delete(l.byWorkspace, name)
 		}
 	}
 }
 
-func (l *Ledger) bookOf(r Request, now time.Time) *book {
-	b := l.books[r.Workspace]
+// bucketsOf returns the buckets of a request's workspace, by its present quota.
+func (l *Ledger) bucketsOf(r Request, now time.Time) *buckets {
+	b := l.byWorkspace[r.Workspace]
 	if b == nil {
 		initial, perSecond := l.tolerance.reserve(r.Quota)
-		b = &book{
+		b = &buckets{
 			quota:   r.Quota,
-			bucket:  rate.NewLimiter(rate.Limit(r.Quota.Rate), capacity(l.tolerance.burst(r.Quota))),
+			main:    rate.NewLimiter(rate.Limit(r.Quota.Rate), capacity(l.tolerance.burst(r.Quota))),
 			reserve: rate.NewLimiter(rate.Limit(perSecond), capacity(initial)),
 		}
 		if r.Role != RoleHome || now.Sub(r.HomeSince) < SettleTime+l.tolerance.Window {
-			drain(b.bucket, now)
+			drain(b.main, now)
 		}
-		l.books[r.Workspace] = b
+		l.byWorkspace[r.Workspace] = b
 		return b
 	}
 	if b.quota != r.Quota {
 		initial, perSecond := l.tolerance.reserve(r.Quota)
 		b.quota = r.Quota
-		b.bucket.SetLimitAt(now, rate.Limit(r.Quota.Rate))
-		b.bucket.SetBurstAt(now, capacity(l.tolerance.burst(r.Quota)))
+		b.main.SetLimitAt(now, rate.Limit(r.Quota.Rate))
+		b.main.SetBurstAt(now, capacity(l.tolerance.burst(r.Quota)))
 		b.reserve.SetLimitAt(now, rate.Limit(perSecond))
 		b.reserve.SetBurstAt(now, capacity(initial))
 	}
 	return b
 }
 
-// capacity returns the capacity of a bucket in whole credits. A capacity below one credit would never grant
-// any.
+// capacity returns the capacity of a bucket in whole credits. A capacity below one credit
+// would never grant any.
 func capacity(credits float64) int {
 	return max(int(credits), 1)
 }
--- a/internal/sidecar/quotaguard.go
+++ b/internal/sidecar/quotaguard.go
@@ -192,8 +192,8 @@
 		a.askErr = errNoCredits
 		return
 	}
-	if node, avoided := q.avoidedNode(first, now); avoided {
-		if _, both := q.avoidedNode(second, now); !both && second != "" {
+	if node, avoided := q.avoidance(first, now); avoided {
+		if _, both := q.avoidance(second, now); !both && second != "" {
 			q.askSecond(a, w, node)
 			return
 		}
@@ -253,9 +253,9 @@
 	}()
 }
 
-// avoidedNode returns what is known of a node that is not to be asked now, and false if it
+// avoidance returns what is known of a node that is not to be asked now, and false if it
 // may be asked.
-func (q *quotaGuard) avoidedNode(address string, now time.Time) (avoidedNode, bool) {
+func (q *quotaGuard) avoidance(address string, now time.Time) (avoidedNode, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	node := q.avoided[address]
