--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -31,11 +31,17 @@
 	acceptLimiter *rate.Limiter
 
 	mu         sync.Mutex
-	sessions   map[*yamux.Session]struct{}
+	sessions   map[*yamux.Session]acceptedLink
 	closed     bool
 	goroutines sync.WaitGroup
 }
 
+// acceptedLink is an incoming link.
+type acceptedLink struct {
+	class Class
+	conn  *coalescingConn
+}
+
 // NewListener returns a Listener that accepts connections from a TCP listener.
 func NewListener(cfg Config, self Identity, counter *Counter, listener net.Listener, handler Handler, logger *log.Logger) *Listener {
 	cfg = cfg.WithDefaults()
@@ -47,7 +53,7 @@
 		logger:        logger,
 		listener:      listener,
 		acceptLimiter: rate.NewLimiter(rate.Limit(cfg.AcceptsPerSecond), cfg.AcceptBurst),
-		sessions:      map[*yamux.Session]struct{}{},
+		sessions:      map[*yamux.Session]acceptedLink{},
 	}
 }
 
@@ -79,12 +85,12 @@
 
 func (l *Listener) serveConn(ctx context.Context, conn net.Conn) {
 	defer l.goroutines.Done()
-	session, class, err := l.handshake(conn)
+	session, accepted, err := l.handshake(conn)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	if !l.track(session) {
+	if !l.track(session, accepted) {
 		_ = session.Close()
 		return
 	}
@@ -95,31 +101,32 @@
 			return
 		}
 		l.goroutines.Add(1)
-		go l.serveStream(ctx, session, class, stream)
+		go l.serveStream(ctx, session, accepted.class, stream)
 	}
 }
 
-func (l *Listener) handshake(conn net.Conn) (*yamux.Session, Class, error) {
+func (l *Listener) handshake(conn net.Conn) (*yamux.Session, acceptedLink, error) {
 	if err := setUnackedTimeout(conn, l.cfg.UnackedTimeout); err != nil {
-		return nil, 0, err
+		return nil, acceptedLink{}, err
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(l.cfg.DialTimeout))
 	var classByte [1]byte
 	if _, err := conn.Read(classByte[:]); err != nil {
-		return nil, 0, err
+		return nil, acceptedLink{}, err
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	class := Class(classByte[0])
 	if class >= classCount {
-		return nil, 0, ErrMalformed
+		return nil, acceptedLink{}, ErrMalformed
 	}
-	counted := &countedConn{Conn: newCoalescingConn(conn), counter: l.counter, class: class}
+	accepted := acceptedLink{class: class, conn: newCoalescingConn(conn)}
+	counted := &countedConn{Conn: accepted.conn, counter: l.counter, class: class}
 	session, err := yamux.Server(counted, l.cfg.yamux())
 	if err != nil {
 		_ = counted.Close()
-		return nil, 0, err
+		return nil, acceptedLink{}, err
 	}
-	return session, class, nil
+	return session, accepted, nil
 }
 
 func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, class Class, conn *yamux.Stream) {
@@ -149,13 +156,13 @@
 	_ = session.Close()
 }
 
-func (l *Listener) track(session *yamux.Session) bool {
+func (l *Listener) track(session *yamux.Session, accepted acceptedLink) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return false
 	}
-	l.sessions[session] = struct{}{}
+	l.sessions[session] = accepted
 	return true
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -107,7 +107,7 @@
 		fx.Supply(s, o, o.Platform, o.Logger),
 		fx.Provide(
 			newCatalog, newMetrics, newIdentity, newDialers, newPeerDirectory, newNotifyingCrashTracker, newServerClient, newLastHop,
-			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newStopper, newNodeState,
+			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newLinkServer, newStopper, newNodeState,
 		),
 		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
 		fx.Populate(&n.stopper, &n.peers),
@@ -307,20 +307,33 @@
 	c.OnChange(quotas.update)
 }
 
-func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, logger *log.Logger) {
+// linkServer holds the listener for the links of other nodes once it has started.
+type linkServer struct {
+	listener atomic.Pointer[link.Listener]
+}
+
+func newLinkServer() *linkServer { return &linkServer{} }
+
+// answersDelivered reports whether other nodes have acknowledged all answers to them.
+func (s *linkServer) answersDelivered() bool {
+	listener := s.listener.Load()
+	return listener == nil || listener.AllDelivered(link.ClassRequest)
+}
+
+func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, links *linkServer, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var listener *link.Listener
 	lc.Append(fx.StartStopHook(func() error {
 		l, err := net.Listen("tcp", s.LinkListen)
 		if err != nil {
 			return eris.Wrap(err, "listen for links")
 		}
-		listener = link.NewListener(linkConfig(), self, &link.Counter{}, l, h, logger)
+		listener := link.NewListener(linkConfig(), self, &link.Counter{}, l, h, logger)
+		links.listener.Store(listener)
 		go listener.Serve(ctx)
 		return nil
 	}, func() {
 		cancel()
-		listener.Close()
+		links.listener.Load().Close()
 	}))
 }
 
--- a/internal/sidecar/stopper.go
+++ b/internal/sidecar/stopper.go
@@ -16,11 +16,13 @@
 	state      *nodeState
 	hop        *LastHop
 	callers    callersServer
-	logger     *log.Logger
+	// answersDelivered reports whether other nodes have acknowledged all answers.
+	answersDelivered func() bool
+	logger           *log.Logger
 }
 
-func newStopper(s settings.Settings, f *nodeState, hop *LastHop, callers callersServer, logger *log.Logger) *stopper {
-	return &stopper{drainLimit: s.DrainLimit, state: f, hop: hop, callers: callers, logger: logger}
+func newStopper(s settings.Settings, f *nodeState, hop *LastHop, callers callersServer, links *linkServer, logger *log.Logger) *stopper {
+	return &stopper{drainLimit: s.DrainLimit, state: f, hop: hop, callers: callers, answersDelivered: links.answersDelivered, logger: logger}
 }
 
 // drain reports the node as not ready, and keeps serving until callers have switched to
@@ -40,9 +42,10 @@
 }
 
 // idle reports that no request is in progress. A request that the gate refused, or that
-// the server has finished, is in progress until its answer is sent.
+// the server has finished, is in progress until its answer has arrived: a narrow link may
+// carry an answer for a while after it was written.
 func (s *stopper) idle() bool {
-	return s.state.callerRequests.Load() == 0 && s.state.peerRequests.Load() == 0 && s.hop.Load().Running == 0
+	return s.state.callerRequests.Load() == 0 && s.state.peerRequests.Load() == 0 && s.hop.Load().Running == 0 && s.answersDelivered()
 }
 
 // closeCallerListener closes the callers' listener and their idle connections. Some
