--- a/internal/sidecar/copyage.go
+++ b/internal/sidecar/copyage.go
@@ -41,9 +41,9 @@
 	known  bool
 }
 
-// absent returns the refusal of a request whose route or key is not in the copy. The
+// refuseUnknown returns the refusal of a request whose route or key is not in the copy. The
 // reason holds only if the copy is recent: the route or key may just have been added.
-func (a provenAge) absent(reason verdict.Reason) *verdict.Error {
+func (a provenAge) refuseUnknown(reason verdict.Reason) *verdict.Error {
 	if !a.known || a.age > a.limits.propagationLimit {
 		// Proof: without a route and a workspace nothing is sent.
 		return verdict.Refuse(verdict.ReasonStaleConfig, staleRetryAfter)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -170,7 +170,7 @@
 	route, ok := view.Routes.Match(incoming.Host, path)
 	if !ok {
 		// Proof: without a route nothing is sent.
-		return age.absent(verdict.ReasonNoRoute)
+		return age.refuseUnknown(verdict.ReasonNoRoute)
 	}
 	if refusal := x.findWorkspace(view.Config, route, headers.Key, age); refusal != nil {
 		return refusal
@@ -212,7 +212,7 @@
 	}
 	x.workspace = config.Workspaces.Holder(key)
 	if x.workspace == nil {
-		return age.absent(verdict.ReasonUnauthorized)
+		return age.refuseUnknown(verdict.ReasonUnauthorized)
 	}
 	return nil
 }
