--- a/bench/journal.go
+++ b/bench/journal.go
@@ -25,14 +25,18 @@
 	Site string       `json:"site"`
 	Head string       `json:"head"`
 	Days []journalDay `json:"days"`
+	// Digest is what the run printed.
+	Digest string `json:"digest"`
 }
 
 // journalDay is one day of an entry.
 type journalDay struct {
-	Name  string          `json:"name"`
-	Worth float64         `json:"G"`
-	Rules map[string]any  `json:"rules"`
-	Fault json.RawMessage `json:"fault"`
+	Name  string  `json:"name"`
+	Worth float64 `json:"G"`
+	// Served is the share of the credit owed that was earned.
+	Served float64         `json:"served"`
+	Rules  map[string]any  `json:"rules"`
+	Fault  json.RawMessage `json:"fault"`
 }
 
 // journalRow is one row of the table: a day, before and after.
--- a/bench/journal_test.go
+++ b/bench/journal_test.go
@@ -25,3 +25,20 @@
 | s | c | - | 0.800 |  | kept | abc1234 | 2 |
 `))
 }
+
+func TestSweepBecomesATable(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	err := writeSweep(&out, "1", &journalEntry{
+		Site: "s", Head: "abc1234567", Days: []journalDay{{Name: "sweep-30", Served: 0.9}},
+		Digest: "day  x\n\nmiddle / busiest or longest, by own machines\n      30     100  power  at 900\nnode: memory MB  1.0 / 2.0  3.0 / 4.0   0.5  9.0\n\nmore\n",
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(Equal(`
+**s** (1, commit abc1234). sweep-30: served 0.900, rules kept.
+
+| middle / busiest or longest | 30 | 100 | power | at 900 |
+|---|---|---|---|---|
+| node: memory MB | 1.0 / 2.0 | 3.0 / 4.0 | 0.5 | 9.0 |
+`))
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -42,7 +42,7 @@
 
 func root() *ffcli.Command {
 	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
-	commands := []*ffcli.Command{listCommand(), backendCommand(), journalCommand()}
+	commands := []*ffcli.Command{listCommand(), backendCommand(), journalCommand(), capacityCommand()}
 	for _, e := range experiments() {
 		commands = append(commands, e.command())
 	}
