Bound the time after which an entry asks for credits again

Cause, by reading: the time until a further credit was reckoned from the rate alone. With a rate near zero, or a home that did not know a new limit yet, an entry would not have asked again for up to a thousand seconds.

Change: it asks again after a second at the latest, and a home without a limit grants what is wanted.

Measured: both new tests fail on the old code.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -19,6 +19,8 @@
 	// did not get. It bounds the requests of many entries for a workspace that sends far
 	// more than its quota.
 	minRetry = 200 * time.Millisecond
+	// maxRetry is the longest such time: a quota may be raised meanwhile.
+	maxRetry = time.Second
 )
 
 // Role is the role in which a node is asked for credits.
@@ -169,6 +171,9 @@
 		return Grant{Credits: credits}
 	}
 	missing := 1 - (available - float64(credits))
-	retryIn := time.Duration(missing / max(float64(l.Limit()), 1e-3) * float64(time.Second))
+	retryIn := maxRetry
+	if perSecond := float64(l.Limit()); missing < perSecond*maxRetry.Seconds() {
+		retryIn = time.Duration(missing / perSecond * float64(time.Second))
+	}
 	return Grant{Credits: credits, RetryIn: max(retryIn, minRetry)}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -205,6 +205,16 @@
 	g.Expect(a.RefusedFor(now)).To(Equal(time.Second))
 }
 
+// A limit of almost nothing must not keep an entry from asking again after it was raised.
+func TestEntryAsksAgainWithinASecond(t *testing.T) {
+	g := NewWithT(t)
+	l := quota.NewLedger(quota.Tolerance{Window: time.Second})
+	r := quota.Request{Workspace: workspace, Quota: mesh.Quota{Rate: 0.001, Burst: 1}, Wanted: 5, HomeSince: epoch.Add(-time.Hour)}
+	g.Expect(l.Grant(r, epoch).RetryIn).To(Equal(time.Second))
+	r.Role = quota.RoleStandIn
+	g.Expect(l.Grant(r, epoch).RetryIn).To(Equal(time.Second))
+}
+
 func TestUnusedCreditsExpire(t *testing.T) {
 	g := NewWithT(t)
 	a := &quota.Account{}
--- a/internal/sidecar/quotaguard_test.go
+++ b/internal/sidecar/quotaguard_test.go
@@ -156,6 +156,17 @@
 	})
 }
 
+// The home knows an older configuration, in which the workspace has no limit yet.
+func TestHomeWithoutTheLimitDoesNotRefuse(t *testing.T) {
+	inQuotaWorld(t, func(w *quotaWorld) {
+		limited := *w.workspace
+		w.workspace.Quota = mesh.Quota{}
+		for range 20 {
+			w.Expect(w.guard.Admit(context.Background(), &limited)).To(BeNil())
+		}
+	})
+}
+
 // A stopping node or a host without a process grants nothing, so the second node may
 // grant the quota; beside a silent one it may grant only the tolerated excess.
 func TestSecondNodeGrantsByWhatIsKnownOfTheFirst(t *testing.T) {
--- a/internal/sidecar/quotaledger.go
+++ b/internal/sidecar/quotaledger.go
@@ -59,6 +59,10 @@
 	if w == nil || l.stopping.Load() {
 		return &wire.CreditAnswer{Declined: true}
 	}
+	if !w.Quota.Limited() {
+		// The asking node knows another version of the configuration, with a limit.
+		return &wire.CreditAnswer{Granted: m.GetWanted()}
+	}
 	now := time.Now()
 	r := quota.Request{Workspace: w.Name, Quota: w.Quota, Wanted: int(m.GetWanted()), Role: quota.Role(m.GetRole())}
 	if r.Role == quota.RoleHome {
