--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -225,33 +224,6 @@
 	return x.workspace.Name
 }
 
-// requestFingerprint identifies a request without its body, also when it is sent again
-// under another ID.
-func requestFingerprint(r *contract.Request, workspace *mesh.Workspace) uint64 {
-	digest := xxhash.New()
-	parts := []string{r.Origin, r.Method, r.Host, r.URI}
-	if workspace != nil {
-		parts = append(parts, workspace.Name)
-	}
-	for _, part := range parts {
-		_, _ = digest.WriteString(part) // hashing never fails
-		_, _ = digest.Write([]byte{0})  // hashing never fails
-	}
-	return digest.Sum64()
-}
-
-// fingerprint identifies a request that is sent again under another ID. It leaves out a
-// body that is not buffered whole.
-func fingerprint(r *contract.Request, workspace *mesh.Workspace, body *intake.Body) uint64 {
-	withoutBody := requestFingerprint(r, workspace)
-	if !body.CanOpen() || body.Size() == 0 {
-		return withoutBody
-	}
-	digest := xxhash.NewWithSeed(withoutBody)
-	_, _ = io.Copy(digest, body.Reader()) // reading memory and hashing never fail
-	return digest.Sum64()
-}
-
 // writeAnswer forwards a backend server's answer. If the answer is truncated, it aborts
 // the caller's connection so that the caller can't take it for a complete one.
 func (x *callerRequest) writeAnswer(a *contract.Answer) {
