--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -65,6 +65,9 @@
 			break
 		}
 		cells := columnGap.Split(strings.TrimSpace(line), -1)
+		if len(cells) == 1 {
+			break // a remark below the table
+		}
 		if i == 0 {
 			cells = append([]string{"middle / busiest or longest"}, cells...)
 		}
