Log and measure the request limit that a server states

A server in need names Server-Limit in its answers, and no log line or metric of a node said so, so that "nothing reads the limit" could not be told from "each node keeps it for itself".

Change: the adapter decodes Server-Limit and Server-Leaving, malformed values included; the gate logs each change of the limit with the requests sent so far and exports server_limit_per_second and server_requests_total. No decision changes.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
 	"boragefall/internal/verdict"
 )
@@ -53,6 +54,18 @@
 	// IdleTimeout is how long the server keeps an idle connection open; 0 when
 	// unspecified.
 	IdleTimeout time.Duration
+	// Notice is what the server states about itself.
+	Notice ServerNotice
+}
+
+// ServerNotice is what a server states about itself in any of its responses.
+type ServerNotice struct {
+	// Leaving reports that the server is about to leave and must not get new requests.
+	Leaving bool
+	// RateLimit is the rate that the server accepts from all nodes together.
+	RateLimit contract.RateLimit
+	// MalformedLimit is the text of a limit that can't be read; empty when there is none.
+	MalformedLimit string
 }
 
 // CallerCodec translates the headers of callers.
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -30,6 +31,8 @@
 	// shortRetryAfter is the retry delay after refusals that another server may not
 	// repeat.
 	shortRetryAfter = 50 * time.Millisecond
+	// maxLoggedValue bounds the bytes of a malformed header value in the log.
+	maxLoggedValue = 64
 )
 
 // backend is the client of the server beside this node.
@@ -61,8 +64,11 @@
 	logger      *log.Logger
 	// runs are the requests that the server is running.
 	runs activeRuns
+	// handedOver counts the requests that were sent to the server.
+	handedOver atomic.Uint64
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	limit limitTracker
 	// handedOverByID holds the IDs that were handed over (true) or fenced (false).
 	handedOverByID *lru.Cache[string, bool]
 	// lastListing is the server's latest listing; nil before the first one.
@@ -279,6 +285,8 @@
 		return nil, verdict.Refuse(verdict.ReasonFenced, shortRetryAfter)
 	}
 	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0})
+	h.handedOver.Add(1)
+	sentAt := time.Now()
 	answer, err := h.client.Do(ctx, serverconn.Request{Request: r, ServerRequest: protocol.ServerRequest{
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
 	}})
@@ -286,10 +294,41 @@
 	if err != nil {
 		return nil, h.handleFailure(r, permit, verdict.FromError(err))
 	}
+	if !answer.ServerResponse.WrongServer {
+		h.observeNotice(answer.ServerResponse.Notice, sentAt)
+	}
 	h.crashes.recordSuccess(r.Fingerprint)
 	return h.handleAnswer(ctx, r, permit, answer)
 }
 
+// observeNotice records what the server states about itself in the answer to a request
+// that was sent at sentAt.
+func (h *LastHop) observeNotice(n protocol.ServerNotice, sentAt time.Time) {
+	if n.MalformedLimit != "" {
+		h.logger.Warn().Str("part", "gate").Str("value", n.MalformedLimit[:min(len(n.MalformedLimit), maxLoggedValue)]).
+			Msg("ignored a malformed limit of the server")
+		if !n.RateLimit.Stated {
+			n.RateLimit = h.RateLimit()
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	previous := h.limit.current
+	if !h.limit.observe(n.RateLimit, sentAt, time.Now()) {
+		return
+	}
+	h.logger.Info().Str("part", "gate").Bool("limited", n.RateLimit.Stated).Float64("per_second", n.RateLimit.PerSecond).
+		Bool("was_limited", previous.Stated).Float64("previous_per_second", previous.PerSecond).
+		Uint64("handed_over", h.handedOver.Load()).Msg("server changed its request limit")
+}
+
+// RateLimit returns the request rate that the server accepts.
+func (h *LastHop) RateLimit() contract.RateLimit {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.limit.current
+}
+
 // handleFailure ends a request that got no answer.
 func (h *LastHop) handleFailure(r *contract.Request, permit *admission.Permit, e *verdict.Error) error {
 	switch {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -339,6 +339,13 @@
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().ServiceTime.Seconds() })
 	m.Gauge("gate_failing_ratio", "Share of requests that the server failed lately.", func() float64 { return hop.Load().FailureRate })
+	m.Gauge("server_limit_per_second", "Request rate that the server beside this node states it accepts; -1 while it states none.", func() float64 {
+		if limit := hop.RateLimit(); limit.Stated {
+			return limit.PerSecond
+		}
+		return -1
+	})
+	m.Counter("server_requests_total", "Requests sent to the server beside this node.", func() float64 { return float64(hop.handedOver.Load()) })
 	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
 	m.Gauge("config_proven_age_seconds", "Upper bound on the age of the configuration; -1 while nothing is proven.", func() float64 {
 		if age, ok := f.ProvenAge(); ok {
