--- a/internal/standin/meshserver.go
+++ b/internal/standin/meshserver.go
@@ -80,6 +80,8 @@
 	coldUntil time.Time
 	server    *http.Server
 	draining  atomic.Bool
+	// statements holds headers that the server adds to every answer, by name.
+	statements sync.Map
 }
 
 // NewMeshServer starts a server that writes into a record.
@@ -128,6 +130,17 @@
 	s.register(s.life)
 }
 
+// State adds a header to every answer of this incarnation; an empty value ends that.
+func (s *MeshServer) State(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value == "" {
+		s.life.statements.Delete(name)
+		return
+	}
+	s.life.statements.Store(name, value)
+}
+
 // Crash ends the incarnation at once; its entry stays.
 func (s *MeshServer) Crash() {
 	s.mu.Lock()
@@ -161,6 +174,10 @@
 	header := w.Header()
 	header.Set("Instance-Id", l.id)
 	header.Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running.Load(), s.cfg.Slots))
+	l.statements.Range(func(name, value any) bool {
+		header.Set(name.(string), value.(string))
+		return true
+	})
 	if r.URL.Path == "/health" {
 		header.Set("Cold-Ms", strconv.FormatInt(l.coldLeft(), 10))
 		if l.draining.Load() {
