Hold the request limit that a server states at its gate

Cause: no part of a node read the limit. Admission knew slots, the cold rate and closed gates, all from the store or from health checks; what a server says in its answers went past the gate to the caller.

Change: every request to a server passes the gate beside it, so a token bucket there holds the limit exactly, whatever node a request began at. Requests start by priority, and a less urgent one leaves tokens for the urgent ones that are expected. What can't start in time is refused at once, with the time at which the limit permits it as Retry-After; hedged requests get nothing of a limit. Answers that were overtaken neither raise nor end a limit. Gates report their limit with their load, so that entries choose other servers first, and entries pass it back with requests, so that a node that has just started knows it before its server's first answer. Low limits are asked about again by health checks. New fields of messages are optional; old builds pass over them.

Planted faults: half a token for a start breaks TestStartsKeepAMovingLimit (186 starts, 185 permitted) and no reserve breaks TestUrgentRequestsGetTheLimitFirst (34 of 41 urgent requests served).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -120,6 +120,21 @@
 	g.update(func(m *Machine, _ time.Time) { m.SetLimits(slots, maxColdRate) })
 }
 
+// SetRateLimit sets the request limit that the server states.
+func (g *Gate) SetRateLimit(limit contract.RateLimit) {
+	g.update(func(m *Machine, now time.Time) { m.SetRateLimit(limit, now) })
+}
+
+// RecordHealthCheck counts a health check, which the server counts as a request.
+func (g *Gate) RecordHealthCheck() {
+	g.update(func(m *Machine, now time.Time) { m.RecordHealthCheck(now) })
+}
+
+// GrantStart permits one request beyond the server's limit.
+func (g *Gate) GrantStart() {
+	g.update(func(m *Machine, now time.Time) { m.GrantStart(now) })
+}
+
 // SetClosed refuses new requests, or admits them again.
 func (g *Gate) SetClosed(closed bool) {
 	g.update(func(m *Machine, _ time.Time) { m.SetClosed(closed) })
@@ -154,6 +169,7 @@
 	load := contract.Load{
 		Running: m.running, Queued: len(m.waiting), Limit: m.slots, State: host.StateWarm,
 		ServiceTime: m.serviceTime.duration(), FailureRate: m.failureRate.value,
+		RateLimit: m.limiter.limit, StartWait: m.limiter.wait(Request{}, len(m.waiting), now),
 	}
 	switch {
 	case m.closed:
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -6,10 +6,12 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"boragefall/internal/contract"
 	"boragefall/internal/verdict"
 )
 
@@ -87,6 +89,8 @@
 	classServiceTimes *simplelru.LRU[string, *movingMean]
 	failureRate       movingMean
 	queuedShare       queuedShare
+	// limiter holds the request limit that the server states.
+	limiter rateLimiter
 }
 
 // NewMachine returns a machine that holds all requests until MarkUp is called.
@@ -108,12 +112,13 @@
 	if m.down {
 		return nil, verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
 	}
+	m.limiter.recordDemand(r.Priority, now)
 	t := &Ticket{request: r, enqueuedAt: now, decision: make(chan *verdict.Error, 1)}
 	wait := m.expectedWait(t, now)
 	full := len(m.waiting) >= queuePerSlot*m.slots
 	refused := full || wait > 0 && !m.acceptable(r, 0, wait, now) || r.Hedge && !m.hasSpareCapacity(wait, now)
 	if refused {
-		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(wait))
+		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(t, wait, now))
 	}
 	t.expectedLate = wait > 0 && now.Add(wait+m.expectedServiceTime(r.Class)).After(r.Objective)
 	m.waiting = append(m.waiting, t)
@@ -133,7 +138,7 @@
 	t := &Ticket{request: r, enqueuedAt: now}
 	wait := max(m.expectedWait(t, now)-delay, 0)
 	if delay+wait > 0 && !m.acceptable(r, delay, wait, now) {
-		return verdict.Refuse(m.busyReason(now), m.retryAfter(delay+wait))
+		return verdict.Refuse(m.busyReason(now), m.retryAfter(t, delay+wait, now))
 	}
 	return nil
 }
@@ -144,10 +149,11 @@
 func (m *Machine) Dispatch(now time.Time) time.Time {
 	m.refuseExpired(now)
 	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < m.slots {
-		if at := m.nextColdStart(now); at.After(now) {
+		next := m.next()
+		if at := later(m.nextColdStart(now), now.Add(m.limiter.wait(m.waiting[next].request, 0, now))); at.After(now) {
 			return at
 		}
-		t := m.pop()
+		t := m.remove(next)
 		t.startedAt = now
 		m.running++
 		m.recordStart(now)
@@ -249,7 +255,7 @@
 	for _, t := range m.waiting {
 		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class) / slotTurnoverFactor).After(t.request.Deadline)
 		if cannotFinish || m.overloaded(now) && t.expectedLate {
-			t.decision <- verdict.Refuse(m.busyReason(now), minRetryAfter)
+			t.decision <- verdict.Refuse(m.busyReason(now), m.retryAfter(t, 0, now))
 			continue
 		}
 		kept = append(kept, t)
@@ -258,17 +264,57 @@
 	m.waiting = kept
 }
 
-// pop removes and returns the next waiting request: by priority, then those expected to
+// SetRateLimit sets the request limit that the server states. Waiting requests that can
+// no longer finish in time are refused at once.
+func (m *Machine) SetRateLimit(limit contract.RateLimit, now time.Time) {
+	m.limiter.set(limit, now)
+	if !limit.Stated {
+		return
+	}
+	slices.SortFunc(m.waiting, func(a, b *Ticket) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	kept := m.waiting[:0]
+	for _, t := range m.waiting {
+		finish := now.Add(m.limiter.wait(t.request, len(kept), now) + m.expectedServiceTime(t.request.Class)/slotTurnoverFactor)
+		if finish.After(t.request.Deadline) {
+			t.decision <- verdict.Refuse(m.busyReason(now), m.retryAfter(t, 0, now))
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(m.waiting[len(kept):])
+	m.waiting = kept
+}
+
+// RecordHealthCheck counts a health check, which the server counts as a request.
+func (m *Machine) RecordHealthCheck(now time.Time) {
+	m.limiter.recordStart(now)
+}
+
+// GrantStart permits one request beyond the server's limit.
+func (m *Machine) GrantStart(now time.Time) {
+	m.limiter.grant(now)
+}
+
+// next returns the index of the next waiting request: by priority, then those expected to
 // meet their objective, then in order of arrival.
-func (m *Machine) pop() *Ticket {
+func (m *Machine) next() int {
 	best := 0
 	for i := 1; i < len(m.waiting); i++ {
 		if before(m.waiting[i], m.waiting[best]) {
 			best = i
 		}
 	}
-	t := m.waiting[best]
-	m.waiting = append(m.waiting[:best], m.waiting[best+1:]...)
+	return best
+}
+
+func (m *Machine) remove(i int) *Ticket {
+	t := m.waiting[i]
+	m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
 	return t
 }
 
@@ -285,15 +331,10 @@
 // expectedWait estimates how long a new request waits behind the requests that go before
 // it.
 func (m *Machine) expectedWait(t *Ticket, now time.Time) time.Duration {
-	ahead := 0
-	for _, w := range m.waiting {
-		if !before(t, w) {
-			ahead++
-		}
-	}
-	wait := time.Duration(0)
+	ahead := m.ahead(t)
+	wait := m.limiter.wait(t.request, ahead, now)
 	if busy := m.running + ahead - m.slots + 1; busy > 0 {
-		wait = time.Duration(busy) * m.serviceTime.duration() / time.Duration(m.slots)
+		wait = max(wait, time.Duration(busy)*m.serviceTime.duration()/time.Duration(m.slots))
 	}
 	if m.cold(now) && m.coldRate > 0 {
 		wait = max(wait, max(m.nextColdStart(now).Sub(now), 0)+time.Duration(float64(ahead)/m.coldRate*float64(time.Second)))
@@ -301,6 +342,17 @@
 	return wait
 }
 
+// ahead returns the number of waiting requests that start before t.
+func (m *Machine) ahead(t *Ticket) int {
+	ahead := 0
+	for _, w := range m.waiting {
+		if w != t && !before(t, w) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 func (m *Machine) cold(now time.Time) bool {
 	return now.Before(m.coldUntil)
 }
@@ -324,6 +376,7 @@
 }
 
 func (m *Machine) recordStart(now time.Time) {
+	m.limiter.recordStart(now)
 	m.pruneStarts(now)
 	m.starts = append(m.starts, now)
 }
@@ -341,8 +394,10 @@
 	return verdict.ReasonOverloaded
 }
 
-func (m *Machine) retryAfter(wait time.Duration) time.Duration {
-	return max(wait/slotTurnoverFactor, minRetryAfter)
+// retryAfter returns when a refused request that would wait may be sent again. A stated
+// limit permits nothing sooner, unlike slots, which become free all the time.
+func (m *Machine) retryAfter(t *Ticket, wait time.Duration, now time.Time) time.Duration {
+	return max(wait/slotTurnoverFactor, m.limiter.wait(t.request, m.ahead(t), now), minRetryAfter)
 }
 
 func (m *Machine) recordServiceTime(class string, elapsed time.Duration) {
--- a/internal/admission/patience.go
+++ b/internal/admission/patience.go
@@ -60,7 +60,7 @@
 // hasSpareCapacity reports whether there is capacity that no other request is likely to
 // need.
 func (m *Machine) hasSpareCapacity(wait time.Duration, now time.Time) bool {
-	return wait == 0 && m.queuedShare.valueAt(now) <= maxHedgeQueuedShare
+	return wait == 0 && !m.limiter.limit.Stated && m.queuedShare.valueAt(now) <= maxHedgeQueuedShare
 }
 
 // overloaded reports whether the requests that are on time take every slot.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -62,6 +62,9 @@
 	// unavailableCost and coldRateExceededCost are costs in seconds above any time that a
 	// request takes, for servers that are chosen only when no other is left.
 	unavailableCost, coldRateExceededCost = 1000, 100
+	// maxLimitWait bounds the cost of a server that accepts almost no requests, below that
+	// of servers that are chosen last.
+	maxLimitWait = 10 * time.Second
 	// stateTTL is how long the state of an unlisted server is kept.
 	stateTTL = 30 * time.Second
 )
@@ -226,6 +229,30 @@
 	return time.Duration(float64(s.networkDelay) * decay(now.Sub(s.delayMeasuredAt), delayDecay))
 }
 
+// limitWait returns how long a request may wait because of the limit that the server
+// states. age is the age of the last load report.
+func (s *serverState) limitWait(age time.Duration) time.Duration {
+	if !s.load.RateLimit.Stated {
+		return 0
+	}
+	wait := max(s.load.StartWait-age, 0)
+	if s.load.RateLimit.PerSecond > 0 {
+		seconds := min(float64(s.sentSinceLoad)/s.load.RateLimit.PerSecond, maxLimitWait.Seconds())
+		wait += time.Duration(seconds * float64(time.Second))
+	}
+	return min(wait, maxLimitWait)
+}
+
+// RateLimit returns the latest known limit that a server stated.
+func (b *Balancer) RateLimit(id mesh.ServerID) contract.RateLimit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[id]; s != nil {
+		return s.load.RateLimit
+	}
+	return contract.RateLimit{}
+}
+
 // Eject keeps a server from being chosen until a given time while others are available.
 func (b *Balancer) Eject(id mesh.ServerID, until, now time.Time) {
 	b.mu.Lock()
@@ -287,6 +314,7 @@
 	if excess := busy + 1 - float64(slots); excess > 0 {
 		cost += serviceTime.Seconds() * excess / float64(slots)
 	}
+	cost += s.limitWait(age).Seconds()
 	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.LocalAddress {
 		cost += s.load.BodyQueueDelay.Seconds()*decay(age, loadDecay) + float64(r.BodyBytes)/float64(s.load.BodyRate)
 	}
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -46,6 +46,10 @@
 	// AnswerQueueDelay is the time until the large answers scheduled so far have been
 	// sent.
 	AnswerQueueDelay time.Duration
+	// RateLimit is the request rate that the server accepts, and StartWait the time until
+	// the gate may start one more request because of it.
+	RateLimit RateLimit
+	StartWait time.Duration
 	// FailureRate is the fraction of recent requests that the server failed, 0 to 1.
 	FailureRate float64
 }
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -78,6 +78,8 @@
 	// HasPriorWork reports that the request is a call made by a running request whose
 	// earlier calls were answered. A refusal would waste that work.
 	HasPriorWork bool
+	// RateLimit is the limit that the server stated lately, as far as the entry knows.
+	RateLimit RateLimit
 	// Fingerprint identifies the request in the quarantine.
 	Fingerprint uint64
 	// ContentLength is the length of Body in bytes, or -1 if unknown.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -172,6 +172,8 @@
 		BodyQueueDelay:   decodeMicros(l.GetBodyWaitMicros()),
 		AnswerQueueDelay: decodeMicros(l.GetAnswerWaitMicros()),
 		BodyRate:         int64(l.GetBodyKilobytesPerSecond()) << 10,
+		RateLimit:        decodeRateLimit(l.RateLimit),
+		StartWait:        decodeMicros(l.GetStartWaitMicros()),
 	}
 }
 
@@ -186,9 +188,26 @@
 		BodyWaitMicros:         encodeMicros(l.BodyQueueDelay),
 		AnswerWaitMicros:       encodeMicros(l.AnswerQueueDelay),
 		BodyKilobytesPerSecond: uint32(min(max(l.BodyRate>>10, 0), math.MaxUint32)),
+		RateLimit:              encodeRateLimit(l.RateLimit),
+		StartWaitMicros:        encodeMicros(l.StartWait),
 	}
 }
 
+func encodeRateLimit(l contract.RateLimit) *float64 {
+	if !l.Stated {
+		return nil
+	}
+	return &l.PerSecond
+}
+
+// decodeRateLimit reads a limit. A value that is no rate counts as absent.
+func decodeRateLimit(perSecond *float64) contract.RateLimit {
+	if perSecond == nil || !(*perSecond >= 0) || math.IsInf(*perSecond, 0) {
+		return contract.RateLimit{}
+	}
+	return contract.RateLimit{Stated: true, PerSecond: *perSecond}
+}
+
 type answerBody struct {
 	*bodyReader
 	call *clientCall
--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -93,6 +93,7 @@
 		Settle:           r.AllowDelay,
 		Invested:         r.HasPriorWork,
 		Spare:            r.Hedge,
+		RateLimit:        encodeRateLimit(r.RateLimit),
 	}
 	if !r.Objective.IsZero() {
 		head.ObjectiveMicros = r.Objective.Sub(now).Microseconds()
@@ -126,6 +127,7 @@
 		AllowDelay:       head.GetSettle(),
 		HasPriorWork:     head.GetInvested(),
 		Hedge:            head.GetSpare(),
+		RateLimit:        decodeRateLimit(head.RateLimit),
 	}
 	if micros := head.GetObjectiveMicros(); micros != 0 {
 		r.Objective = now.Add(time.Duration(micros) * time.Microsecond)
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -31,8 +31,6 @@
 	// shortRetryAfter is the retry delay after refusals that another server may not
 	// repeat.
 	shortRetryAfter = 50 * time.Millisecond
-	// maxLoggedValue bounds the bytes of a malformed header value in the log.
-	maxLoggedValue = 64
 )
 
 // backend is the client of the server beside this node.
@@ -67,8 +65,10 @@
 	// handedOver counts the requests that were sent to the server.
 	handedOver atomic.Uint64
 
-	mu    sync.Mutex
-	limit limitTracker
+	mu sync.Mutex
+	// limit is the request limit that the server states.
+	limit            limitTracker
+	recheckScheduled bool
 	// handedOverByID holds the IDs that were handed over (true) or fenced (false).
 	handedOverByID *lru.Cache[string, bool]
 	// lastListing is the server's latest listing; nil before the first one.
@@ -171,6 +171,7 @@
 	if bodyPending && r.BodyBuffered {
 		admissionRequest.HasPriorWork = true // the body would have to be sent again to another gate
 	}
+	h.adoptLimit(r.RateLimit)
 	permit, err := h.gate.Admit(ctx, admissionRequest)
 	if err != nil {
 		h.logRefusal(r, verdict.FromError(err))
@@ -295,40 +296,12 @@
 		return nil, h.handleFailure(r, permit, verdict.FromError(err))
 	}
 	if !answer.ServerResponse.WrongServer {
-		h.observeNotice(answer.ServerResponse.Notice, sentAt)
+		h.observeNotice(answer.ServerResponse, sentAt)
 	}
 	h.crashes.recordSuccess(r.Fingerprint)
 	return h.handleAnswer(ctx, r, permit, answer)
 }
 
-// observeNotice records what the server states about itself in the answer to a request
-// that was sent at sentAt.
-func (h *LastHop) observeNotice(n protocol.ServerNotice, sentAt time.Time) {
-	if n.MalformedLimit != "" {
-		h.logger.Warn().Str("part", "gate").Str("value", n.MalformedLimit[:min(len(n.MalformedLimit), maxLoggedValue)]).
-			Msg("ignored a malformed limit of the server")
-		if !n.RateLimit.Stated {
-			n.RateLimit = h.RateLimit()
-		}
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	previous := h.limit.current
-	if !h.limit.observe(n.RateLimit, sentAt, time.Now()) {
-		return
-	}
-	h.logger.Info().Str("part", "gate").Bool("limited", n.RateLimit.Stated).Float64("per_second", n.RateLimit.PerSecond).
-		Bool("was_limited", previous.Stated).Float64("previous_per_second", previous.PerSecond).
-		Uint64("handed_over", h.handedOver.Load()).Msg("server changed its request limit")
-}
-
-// RateLimit returns the request rate that the server accepts.
-func (h *LastHop) RateLimit() contract.RateLimit {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.limit.current
-}
-
 // handleFailure ends a request that got no answer.
 func (h *LastHop) handleFailure(r *contract.Request, permit *admission.Permit, e *verdict.Error) error {
 	switch {
@@ -441,6 +414,9 @@
 	evacuated := v.Evacuated[listing.DataCentre]
 	h.gate.SetClosed(h.stopping || evacuated || listing.State != mesh.ServerReady)
 	restarted := h.lastListing != nil && !h.lastListing.SameIncarnation(listing.Server)
+	if restarted && h.limit.reset() {
+		h.applyLimit("server was restarted")
+	}
 	if restarted || h.evacuated && !evacuated {
 		// A restarted process is cold, and a server of an evacuated data centre may be.
 		h.prober.holdAndProbe(false)
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -37,6 +37,11 @@
 	attempts int
 	// shedShare is the share of requests that the server refuses.
 	shedShare float64
+	// notice is what the server states about itself, noticedAt is when it first stated it,
+	// and arrivedAt are the arrivals at the server.
+	notice    protocol.ServerNotice
+	noticedAt time.Time
+	arrivedAt []time.Time
 	// extraDelay is added to each message in either direction.
 	extraDelay time.Duration
 }
@@ -70,8 +75,13 @@
 // Do runs a request on the host's server.
 func (n *loadNode) Do(ctx context.Context, r serverconn.Request) (*serverconn.Answer, error) {
 	if r.ServerRequest.Probe {
-		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id)}), nil
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id), Notice: n.notice}), nil
 	}
+	n.mu.Lock()
+	n.arrivedAt = append(n.arrivedAt, time.Now())
+	n.mu.Unlock()
 	retry := n.simulation.countArrival(n.service, r.ID)
 	if n.shedShare > 0 && n.simulation.random.float() < n.shedShare {
 		return serverAnswer(http.StatusServiceUnavailable, protocol.ServerResponse{NotExecuted: true}), nil
@@ -103,7 +113,14 @@
 	if status != http.StatusOK {
 		n.wasted++
 	}
-	return serverAnswer(status, protocol.ServerResponse{Signed: true}), nil
+	return serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice}), nil
+}
+
+// state makes the server state something about itself in its answers from now on.
+func (n *loadNode) state(notice protocol.ServerNotice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notice, n.noticedAt = notice, time.Now()
 }
 
 // sleepContext returns early when ctx ends, as a server's work ends with its
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -79,13 +79,7 @@
 	if view.Config == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	request := &contract.Request{
-		Method: http.MethodGet, URI: view.Config.Services[p.hop.service].HealthPath, Host: p.hop.address,
-		Deadline: time.Now().Add(probeTimeout), Idempotent: true, Header: http.Header{},
-	}
-	answer, err := p.hop.client.Do(ctx, serverconn.Request{Request: request, ServerRequest: protocol.ServerRequest{Probe: true}})
+	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -100,14 +94,45 @@
 		p.hop.gate.MarkUp(unansweredColdTime)
 		return true
 	}
-	_ = answer.Body.Close() // only the headers matter
 	p.running = false
-	p.hop.recordResponder(answer.ServerResponse.Server)
-	p.logResult("server heard of", answer.ServerResponse.ColdFor, nil)
-	p.hop.gate.MarkUp(answer.ServerResponse.ColdFor)
+	p.hop.recordResponder(reply.Server)
+	p.hop.observeHealthNotice(reply.Notice)
+	p.logResult("server heard of", reply.ColdFor, nil)
+	p.hop.gate.MarkUp(reply.ColdFor)
 	return true
 }
 
+// check sends one health check and returns what the server states in its answer.
+func (p *prober) check(path string) (protocol.ServerResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	request := &contract.Request{
+		Method: http.MethodGet, URI: path, Host: p.hop.address,
+		Deadline: time.Now().Add(probeTimeout), Idempotent: true, Header: http.Header{},
+	}
+	p.hop.gate.RecordHealthCheck()
+	answer, err := p.hop.client.Do(ctx, serverconn.Request{Request: request, ServerRequest: protocol.ServerRequest{Probe: true}})
+	if err != nil {
+		return protocol.ServerResponse{}, err
+	}
+	_ = answer.Body.Close() // only the headers matter
+	return answer.ServerResponse, nil
+}
+
+// checkLimit asks the server for its request limit, without holding requests.
+func (p *prober) checkLimit() {
+	view := p.hop.view()
+	if view.Config == nil {
+		return
+	}
+	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
+	if err != nil {
+		p.logResult("server did not state its limit", 0, err)
+		return
+	}
+	p.hop.observeHealthNotice(reply.Notice)
+}
+
 func (p *prober) logResult(message string, coldFor time.Duration, err error) {
 	p.hop.logger.Info().Str("part", "gate").Dur("cold_for", coldFor).AnErr("cause", err).Msg(message)
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -151,6 +151,7 @@
 	outgoing.Body = reader
 	outgoing.Server = string(listing.ID)
 	outgoing.HostListRevision = listing.Revision
+	outgoing.RateLimit = t.dispatcher.balancer.RateLimit(listing.ID)
 	outgoing.Attempt = t.attempts + t.serverRefusals
 	t.running++
 	t.attempts++
