Send nothing more to a server that states that it leaves

What callers saw: requests went on to a leaving server until the store said so; a node without the store sent them until the server was gone.

Cause: the same class as the limit: a server's own word in its answers (Server-Leaving) went past every decision; only the store's records counted.

Change: the gate, from answers and health checks, and every entry, from the answers that it passes on, mark the incarnation as leaving in their catalog. A view then lists it as unusable, so that the entry does not choose it and its gate closes. The mark outlives the record, which may expire and come back, and ends with the incarnation. Entries keep their own mark since a gate may be restarted or be of an older build.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/phuslu/log"
 
 	"boragefall/internal/mesh"
@@ -22,6 +23,9 @@
 // Peers that would need a discarded tombstone receive all items.
 const maxTombstones = 256
 
+// maxLeaving limits the servers that are remembered as leaving.
+const maxLeaving = 4096
+
 // maxLoggedDefects limits the log lines about one configuration; the first line has
 // the number of all defects.
 const maxLoggedDefects = 16
@@ -44,6 +48,9 @@
 	config            *mesh.Config
 	routes            *mesh.RouteTable
 	servers           map[mesh.ServerID]*Listing
+	// leaving holds the servers that stated that they leave, with their start times. It is
+	// bounded and outlives their records: a record that expired may be back.
+	leaving *simplelru.LRU[mesh.ServerID, int64]
 	// suspectUntil holds, for each suspect server, the time at which it is removed.
 	suspectUntil map[mesh.ServerID]time.Time
 	evacuated    map[string]bool
@@ -56,7 +63,12 @@
 
 // New returns an empty catalog.
 func New(decoder Decoder, logger *log.Logger) *Catalog {
+	leaving, err := simplelru.NewLRU[mesh.ServerID, int64](maxLeaving, nil)
+	if err != nil {
+		panic(err) // only if maxLeaving is not positive
+	}
 	c := &Catalog{
+		leaving:           leaving,
 		decoder:           decoder,
 		logger:            logger,
 		advanced:          make(chan struct{}),
@@ -242,6 +254,26 @@
 	return true
 }
 
+// MarkLeaving records that an incarnation of a server stated that it leaves, which holds
+// until the server is started again, whatever the store says. It publishes a view without
+// the server before it returns.
+func (c *Catalog) MarkLeaving(server *mesh.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if started, known := c.leaving.Get(server.ID); known && started >= server.StartUnixMillis {
+		return
+	}
+	c.leaving.Add(server.ID, server.StartUnixMillis)
+	c.logger.Info().Str("part", "catalog").Str("server", string(server.ID)).Msg("server states that it leaves")
+	c.publish()
+}
+
+// statedLeaving reports whether an incarnation of a server stated that it leaves.
+func (c *Catalog) statedLeaving(server *mesh.Server) bool {
+	started, known := c.leaving.Peek(server.ID)
+	return known && started == server.StartUnixMillis
+}
+
 // ExpireSuspects removes the suspect servers whose grace period is over. It is meant to
 // be called a few times per second.
 func (c *Catalog) ExpireSuspects(now time.Time) {
@@ -423,12 +455,18 @@
 		v.Evacuated[dataCentre] = true
 	}
 	for id, listing := range c.servers {
+		if leaving := c.statedLeaving(listing.Server); leaving != listing.Leaving {
+			updated := *listing
+			updated.Leaving = leaving
+			listing = &updated
+			c.servers[id] = listing
+		}
 		v.Servers[id] = listing
 		if at := v.byAddress[listing.Address]; at == nil || isNewer(listing, at) {
 			v.byAddress[listing.Address] = listing
 		}
 	}
-	for _, listing := range c.servers {
+	for _, listing := range v.Servers {
 		if v.isUsable(listing) {
 			v.Usable[listing.Service] = append(v.Usable[listing.Service], listing)
 		}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -18,6 +18,14 @@
 	// Suspect reports that the record ended during an outage of the store or during
 	// the grace period after it.
 	Suspect bool
+	// Leaving reports that the server itself stated that it leaves.
+	Leaving bool
+}
+
+// AcceptsRequests reports whether the server may receive new requests, as far as its state
+// is concerned.
+func (l *Listing) AcceptsRequests() bool {
+	return l.State == mesh.ServerReady && !l.Leaving
 }
 
 // View is an immutable snapshot of the catalog.
@@ -45,7 +53,7 @@
 }
 
 func (v *View) isUsable(l *Listing) bool {
-	return l.State == mesh.ServerReady && !v.Evacuated[l.DataCentre] && v.byAddress[l.Address] == l
+	return l.AcceptsRequests() && !v.Evacuated[l.DataCentre] && v.byAddress[l.Address] == l
 }
 
 // ServerAt returns the server that listens at an address, or nil. The record of a crashed
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -88,8 +88,14 @@
 	ReadServerResponse(status int, h http.Header) ServerResponse
 }
 
+// NoticeReader reads what backend servers state about themselves in any response.
+type NoticeReader interface {
+	ReadServerNotice(h http.Header) ServerNotice
+}
+
 // HeaderCodec translates between HTTP headers and the types of this package.
 type HeaderCodec interface {
 	CallerCodec
 	ServerCodec
+	NoticeReader
 }
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -11,6 +11,7 @@
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
+	"boragefall/internal/protocol"
 	"boragefall/internal/retry"
 	"boragefall/internal/verdict"
 )
@@ -54,6 +55,9 @@
 	// linkPort is the port on which all nodes accept links.
 	linkPort    string
 	answerSizes *answerSizes
+	headers     protocol.NoticeReader
+	// markLeaving records that a server stated that it leaves.
+	markLeaving func(*mesh.Server)
 	logger      *log.Logger
 	meter       Meter
 
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -22,6 +22,7 @@
 	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
 	"boragefall/internal/verdict"
+	"boragefall/platform"
 )
 
 // fakePeers answers as a test scripts, by the index of the send from 0.
@@ -82,6 +83,10 @@
 
 // newTestView returns a view of one service with each server on its own host.
 func newTestView(servers int) *catalog.View {
+	return newTestCatalog(servers).View()
+}
+
+func newTestCatalog(servers int) *catalog.Catalog {
 	c := catalog.New(serverDecoder{}, telemetry.Silent())
 	var items []catalog.Item
 	for i := range servers {
@@ -89,7 +94,7 @@
 	}
 	items = append(items, catalog.Item{Key: "config", Revision: 100})
 	c.Apply(items, 100, time.Now())
-	return c.View()
+	return c
 }
 
 // serverDecoder makes a server of each key, and the configuration of the key config.
@@ -114,14 +119,14 @@
 }
 
 func newDispatcherFixture(t *testing.T, servers int) *dispatcherFixture {
-	view := newTestView(servers)
+	mesh := newTestCatalog(servers)
 	crashes, err := newCrashTracker(func(uint64) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	hop, err := NewLastHop(LastHopConfig{
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
-		Address:   "10.0.0.1:8000", Service: "other", View: func() *catalog.View { return view },
+		Address:   "10.0.0.1:8000", Service: "other", View: mesh.View, MarkLeaving: mesh.MarkLeaving,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Crashes: crashes, Logger: telemetry.Silent(),
 		Bodies: newBodyReceiver(0, 0),
 	})
@@ -131,7 +136,8 @@
 	w := &dispatcherFixture{WithT: NewWithT(t), peers: &fakePeers{fence: func(string) (bool, error) { return true, nil }}}
 	w.dispatcher = &Dispatcher{
 		answerSizes: newAnswerSizes(),
-		hop:         hop, view: func() *catalog.View { return view }, peers: w.peers, balancer: balance.New("north", rand.Float64),
+		headers:     platform.Headers{}, markLeaving: mesh.MarkLeaving,
+		hop: hop, view: mesh.View, peers: w.peers, balancer: balance.New("north", rand.Float64),
 		retryBudget: RetryBudget{Ratio: 0.2, Slack: float64(4 * servers)}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	return w
@@ -429,3 +435,21 @@
 	p.recordCrash(8, now)
 	g.Expect(p.quarantined(8, now)).To(BeFalse())
 }
+
+// Guards against entries that rely on the gate: the gate of a leaving server may be of a
+// build that does not read the server's statement, or restart and forget it.
+func TestServerThatStatesThatItLeavesIsNotChosenAgain(t *testing.T) {
+	w := newDispatcherFixture(t, 2)
+	w.peers.answer = func(_ context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+		answer := answerWithStatus(http.StatusOK)
+		if n == 0 {
+			answer.Header = http.Header{"Server-Leaving": {"1"}}
+		}
+		return answer, nil
+	}
+	for range 20 {
+		_, err := w.do(context.Background(), false)
+		w.Expect(err).To(BeNil())
+	}
+	w.Expect(w.peers.sent[1:]).NotTo(ContainElement(w.peers.sent[0]))
+}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -59,6 +59,7 @@
 	answerPacer *answerPacer
 	answerSizes *answerSizes
 	coldLimit   ColdStartLimit
+	markLeaving func(*mesh.Server)
 	logger      *log.Logger
 	// runs are the requests that the server is running.
 	runs activeRuns
@@ -93,7 +94,9 @@
 	Crashes   *crashTracker
 	Bodies    *bodyReceiver
 	ColdLimit ColdStartLimit
-	Logger    *log.Logger
+	// MarkLeaving records that a server stated that it leaves.
+	MarkLeaving func(*mesh.Server)
+	Logger      *log.Logger
 }
 
 // ColdStartLimit bounds the requests that a server receives in any second while it is
@@ -124,7 +127,7 @@
 	}
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
-		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, logger: cfg.Logger, handedOverByID: handedOverByID,
+		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
 	}
 	h.prober = &prober{hop: h}
@@ -287,7 +290,7 @@
 	}
 	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0})
 	h.handedOver.Add(1)
-	sentAt := time.Now()
+	sentAt, listing := time.Now(), h.view().Servers[mesh.ServerID(r.Server)]
 	answer, err := h.client.Do(ctx, serverconn.Request{Request: r, ServerRequest: protocol.ServerRequest{
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
 	}})
@@ -296,7 +299,7 @@
 		return nil, h.handleFailure(r, permit, verdict.FromError(err))
 	}
 	if !answer.ServerResponse.WrongServer {
-		h.observeNotice(answer.ServerResponse, sentAt)
+		h.observeNotice(answer.ServerResponse, listing, sentAt)
 	}
 	h.crashes.recordSuccess(r.Fingerprint)
 	return h.handleAnswer(ctx, r, permit, answer)
@@ -412,7 +415,7 @@
 	h.gate.SetLimits(listing.Slots, h.coldLimit.requestsPerSecond(service.ColdRate))
 	h.gate.ExtendCold(listing.ColdUntil)
 	evacuated := v.Evacuated[listing.DataCentre]
-	h.gate.SetClosed(h.stopping || evacuated || listing.State != mesh.ServerReady)
+	h.gate.SetClosed(h.stopping || evacuated || !listing.AcceptsRequests())
 	restarted := h.lastListing != nil && !h.lastListing.SameIncarnation(listing.Server)
 	if restarted && h.limit.reset() {
 		h.applyLimit("server was restarted")
--- a/internal/sidecar/lasthop_test.go
+++ b/internal/sidecar/lasthop_test.go
@@ -14,6 +14,7 @@
 	"boragefall/internal/admission"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/mesh"
 	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
 	"boragefall/internal/verdict"
@@ -50,7 +51,7 @@
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
 		Address:   "10.0.0.2:8000", Service: "orders", View: func() *catalog.View { return view }, Crashes: crashes,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: "127.0.0.1:1"}), platform.Headers{}),
-		Bodies: newBodyReceiver(27, 128), Logger: telemetry.Silent(),
+		Bodies: newBodyReceiver(27, 128), MarkLeaving: func(*mesh.Server) {}, Logger: telemetry.Silent(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -16,6 +16,7 @@
 	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
 	"boragefall/internal/verdict"
+	"boragefall/platform"
 )
 
 // loadNode is one host: its node and a simulation of the server beside it.
@@ -54,13 +55,14 @@
 	n.hop, err = NewLastHop(LastHopConfig{
 		ColdLimit: ColdStartLimit{Overshoot: 1.5}, Address: n.id + ":8000", Service: n.service, View: n.simulation.catalog.View,
 		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(0, 0),
+		MarkLeaving: n.simulation.catalog.MarkLeaving,
 	})
 	if err != nil {
 		panic(err)
 	}
 	n.callerRetries = newCallerRetries()
 	n.dispatcher = &Dispatcher{
-		answerSizes: newAnswerSizes(), hop: n.hop, view: n.simulation.catalog.View, peers: n.simulation, balancer: balance.New("north", n.simulation.random.float),
+		headers: platform.Headers{}, markLeaving: n.simulation.catalog.MarkLeaving, answerSizes: newAnswerSizes(), hop: n.hop, view: n.simulation.catalog.View, peers: n.simulation, balancer: balance.New("north", n.simulation.random.float),
 		retryBudget: loadBudget, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	n.simulation.catalog.OnChange(n.hop.Update)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -246,14 +246,15 @@
 
 func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *crashTracker, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
-		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, Logger: logger,
+		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Logger: logger,
 		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 }
 
-func newDispatcher(s settings.Settings, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, logger *log.Logger) *Dispatcher {
+func newDispatcher(s settings.Settings, platform Platform, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, logger *log.Logger) *Dispatcher {
 	return &Dispatcher{
 		hop: hop, view: c.View, balancer: balance.New(s.DataCentre, rand.Float64), linkPort: n.linkPort, answerSizes: newAnswerSizes(), logger: logger, meter: m,
+		headers: platform.Headers, markLeaving: c.MarkLeaving,
 		peers:       linkPeers{Client: exchange.NewClient(d.requests), links: d.requests, control: n.control},
 		retryBudget: RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 	}
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -80,6 +80,9 @@
 		return false
 	}
 	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
+	if err == nil {
+		p.hop.observeHealthNotice(reply)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -96,7 +99,6 @@
 	}
 	p.running = false
 	p.hop.recordResponder(reply.Server)
-	p.hop.observeHealthNotice(reply.Notice)
 	p.logResult("server heard of", reply.ColdFor, nil)
 	p.hop.gate.MarkUp(reply.ColdFor)
 	return true
@@ -130,7 +132,7 @@
 		p.logResult("server did not state its limit", 0, err)
 		return
 	}
-	p.hop.observeHealthNotice(reply.Notice)
+	p.hop.observeHealthNotice(reply)
 }
 
 func (p *prober) logResult(message string, coldFor time.Duration, err error) {
--- a/internal/sidecar/servernotice.go
+++ b/internal/sidecar/servernotice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
 	"boragefall/internal/protocol"
 )
@@ -16,8 +17,11 @@
 )
 
 // observeNotice records what the server states about itself in the answer to a request
-// that was sent at sentAt.
-func (h *LastHop) observeNotice(r protocol.ServerResponse, sentAt time.Time) {
+// that was sent at sentAt, when listing was the server's record; nil if it was unlisted.
+func (h *LastHop) observeNotice(r protocol.ServerResponse, listing *catalog.Listing, sentAt time.Time) {
+	if r.Notice.Leaving && listing != nil {
+		h.markLeaving(listing.Server)
+	}
 	h.logMalformedLimit(r.Notice)
 	limit := r.Notice.RateLimit
 	h.mu.Lock()
@@ -32,7 +36,11 @@
 
 // observeHealthNotice records what the server states about itself in the answer to a
 // health check.
-func (h *LastHop) observeHealthNotice(n protocol.ServerNotice) {
+func (h *LastHop) observeHealthNotice(r protocol.ServerResponse) {
+	n := r.Notice
+	if listing := h.view().ServerAt(h.address); n.Leaving && listing != nil && (r.Server == "" || r.Server == listing.ID) {
+		h.markLeaving(listing.Server)
+	}
 	h.logMalformedLimit(n)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -183,6 +183,10 @@
 	now := time.Now()
 	if err == nil {
 		d.balancer.Finish(listing.ID, &answer.Load, now.Sub(sentAt)-answer.GateTime, now)
+		if d.headers.ReadServerNotice(answer.Header).Leaving {
+			// The gate may be of a build that does not read this, or restart and forget it.
+			d.markLeaving(listing.Server)
+		}
 		t.results <- result{listing: listing, answer: answer, hedge: r.Hedge}
 		return
 	}
