Never take an earlier refusal for the answer to a request sent again

What callers saw (report of operators of a similar mesh; not seen here): "not run, try again" for a request that a server had run or was running, or a second run on another server.

Cause: an entry may send a refused request to the same server again, once all others refused it too. Answers are matched by request ID, which is then the same for both sends: a faulty server that wrote its first refusal once more on the kept connection had it taken for the answer to the second send.

Change: a connection remembers the IDs that were refused on it, at most 256, and never carries them again; the request gets another connection, if need be in the place of an idle one. Copies for other IDs were skipped already, which has a spec now, too.

Tests that failed before: "can't pass it off as the answer to the same request sent again" (the copy was returned as a refusal while the server ran the request), and without makeRoom "does not use up the connections".

--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -76,7 +76,7 @@
 		// Proof: the context ended before anything was sent.
 		return nil, verdict.New(verdict.NotRun, dialErrorReason(ctx, err), err)
 	}
-	conn, err := c.get(ctx, !r.Idempotent)
+	conn, err := c.get(ctx, r.ID, !r.Idempotent)
 	if err != nil {
 		// Proof: there was no connection to send the request on.
 		return nil, verdict.New(verdict.NotRun, dialErrorReason(ctx, err), err)
@@ -272,6 +272,13 @@
 		x.abort()
 		return
 	}
+	if reply.NotExecuted {
+		x.conn.refused = append(x.conn.refused, x.request.ID)
+	}
+	if len(x.conn.refused) >= maxRefusedIDs {
+		x.abort()
+		return
+	}
 	x.client.put(x.conn, reply.IdleTimeout)
 }
 
--- a/internal/serverconn/pool.go
+++ b/internal/serverconn/pool.go
@@ -50,6 +50,8 @@
 	// idleMargin is subtracted from the idle timeout that the server states, so
 	// that a request is not sent while the server closes the connection.
 	idleMargin = 700 * time.Millisecond
+	// maxRefusedIDs bounds the refusals on one connection; it is closed after the last.
+	maxRefusedIDs = 256
 	// bufferBytes is the size of a connection's read and write buffers.
 	bufferBytes = 4 << 10
 )
@@ -125,13 +127,17 @@
 	writer      *bufio.Writer
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// refused holds the IDs of the requests that the server refused on this connection. A
+	// faulty server may write a refusal once more, so none of them is sent on it again.
+	refused []string
 }
 
-// get returns a reusable idle connection, or dials a new one.
-func (p *Pool) get(ctx context.Context, mustBeFresh bool) (*conn, error) {
+// get returns a reusable idle connection for a request, or dials a new one.
+func (p *Pool) get(ctx context.Context, id string, mustBeFresh bool) (*conn, error) {
 	for {
-		c := p.takeIdle(mustBeFresh)
+		c := p.takeIdle(id, mustBeFresh)
 		if c == nil {
+			p.makeRoom()
 			return p.dial(ctx)
 		}
 		idle := p.cfg.Now().Sub(c.idleSince)
@@ -143,23 +149,38 @@
 	}
 }
 
-// takeIdle removes an idle connection from the pool. It returns the most recently
-// used one if it must be fresh, and otherwise the least recently used one, so that
-// idempotent requests keep all connections fresh.
-func (p *Pool) takeIdle(mustBeFresh bool) *conn {
+// takeIdle removes an idle connection on which a request was not refused from the pool.
+// It returns the most recently used one if it must be fresh, and otherwise the least
+// recently used one, so that idempotent requests keep all connections fresh.
+func (p *Pool) takeIdle(id string, mustBeFresh bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for n := range p.idle {
+		i := n
+		if mustBeFresh {
+			i = len(p.idle) - 1 - n
+		}
+		if c := p.idle[i]; !slices.Contains(c.refused, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	if !mustBeFresh {
-		c := p.idle[0]
+	return nil
+}
+
+// makeRoom closes the least recently used idle connection if the limit is reached. Idle
+// connections remain only if the request must not use them.
+func (p *Pool) makeRoom() {
+	p.mu.Lock()
+	var oldest *conn
+	if p.open >= p.limit && len(p.idle) > 0 {
+		oldest = p.idle[0]
 		p.idle = slices.Delete(p.idle, 0, 1)
-		return c
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	p.mu.Unlock()
+	if oldest != nil {
+		p.discard(oldest)
+	}
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
--- a/internal/serverconn/serverconn_test.go
+++ b/internal/serverconn/serverconn_test.go
@@ -386,3 +386,93 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("caller closed the connection") }
+
+var _ = Describe("a server that writes an earlier refusal once more", func() {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+	// Guards against a caller that is told "not run" while the server runs its request: the
+	// request came to the same server twice, and the copy of its first refusal was taken
+	// for the answer to the second send.
+	It("can't pass it off as the answer to the same request sent again", func() {
+		var mu sync.Mutex
+		ran := map[string]int{}
+		s := listen(func(n int, c net.Conn, r *bufio.Reader) {
+			for sent := 0; ; sent++ {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				mu.Lock()
+				first := n == 0 && sent == 0
+				if !first {
+					ran[id]++
+				}
+				mu.Unlock()
+				if n == 0 {
+					_, _ = fmt.Fprintf(c, refusal, id)
+				}
+				if !first {
+					reply(c, id, "served")
+				}
+			}
+		})
+		client := newClient(s)
+		answer, err := client.Do(context.Background(), newGet("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.ServerResponse.NotExecuted).To(BeTrue())
+		_ = answer.Body.Close() // empty
+		answer, err = client.Do(context.Background(), newGet("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.ServerResponse.NotExecuted).To(BeFalse(), "the server ran the request")
+		_ = answer.Body.Close() // not of interest
+		Expect(s.accepted()).To(Equal(2))
+	})
+
+	// Guards against a request that is refused because the only connections left are those
+	// that it must not use.
+	It("does not use up the connections", func() {
+		s := listen(func(n int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				if n == 0 {
+					_, _ = fmt.Fprintf(c, refusal, id)
+					continue
+				}
+				reply(c, id, "served")
+			}
+		})
+		client := newClient(s, func(cfg *serverconn.Config) { cfg.MaxConnections = 1 })
+		answer, err := client.Do(context.Background(), newGet("a"))
+		Expect(err).NotTo(HaveOccurred())
+		_ = answer.Body.Close() // empty
+		Expect(do(client, newGet("a"))).To(Equal("served"))
+	})
+
+	It("can't pass it off as the answer to another request", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			refused := ""
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				if refused != "" {
+					_, _ = fmt.Fprintf(c, refusal, refused)
+					reply(c, id, "served")
+					continue
+				}
+				refused = id
+				_, _ = fmt.Fprintf(c, refusal, id)
+			}
+		})
+		client := newClient(s)
+		answer, err := client.Do(context.Background(), newGet("a"))
+		Expect(err).NotTo(HaveOccurred())
+		_ = answer.Body.Close() // empty
+		Expect(do(client, newGet("b"))).To(Equal("served"))
+		Expect(s.accepted()).To(Equal(1))
+	})
+})
