Skip answers to other requests when a health check is answered

What callers saw: nothing known. A copy of an earlier answer, or one that came late, on the connection of a health check was taken for the health answer: a server without Cold-Ms in it counted as warm.

Change: a health check carries no ID, so only an answer without one is its own.

Test that failed before: "can't pass it off as the answer to a health check".

--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -203,8 +203,8 @@
 	return x.conn.writer.Flush()
 }
 
-// receive reads the answer to this request and skips answers to other requests.
-// Only the answer to a health check may lack a request ID.
+// receive reads the answer to this request and skips answers to other requests. A health
+// check has no request ID, so its answer has none either.
 func (x *exchange) receive(out *http.Request) (*http.Response, protocol.ServerResponse, error) {
 	for range maxUnmatchedAnswers {
 		x.conn.headLimit.setLimit(maxAnswerHead)
@@ -220,7 +220,7 @@
 		if reply.ID == "" && !x.request.ServerRequest.Probe {
 			return nil, protocol.ServerResponse{}, errMissingRequestID
 		}
-		if reply.ID == x.request.ID || x.request.ServerRequest.Probe {
+		if reply.ID == x.request.ID {
 			if response.StatusCode < http.StatusMultipleChoices && !reply.Signed && !x.request.ServerRequest.Probe {
 				return nil, protocol.ServerResponse{}, errUnsigned
 			}
--- a/internal/serverconn/serverconn_test.go
+++ b/internal/serverconn/serverconn_test.go
@@ -475,4 +475,30 @@
 		Expect(do(client, newGet("b"))).To(Equal("served"))
 		Expect(s.accepted()).To(Equal(1))
 	})
+
+	// Guards against a health check that takes the copy for its own answer.
+	It("can't pass it off as the answer to a health check", func() {
+		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				_, _ = fmt.Fprintf(c, refusal, "a")
+				if id == "" {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}
+		})
+		client := newClient(s)
+		answer, err := client.Do(context.Background(), newGet("a"))
+		Expect(err).NotTo(HaveOccurred())
+		_ = answer.Body.Close() // empty
+		probe := newGet("")
+		probe.ServerRequest.Probe = true
+		answer, err = client.Do(context.Background(), probe)
+		Expect(err).NotTo(HaveOccurred())
+		_ = answer.Body.Close() // empty
+		Expect(answer.Status).To(Equal(http.StatusOK))
+	})
 })
