Show that a truncated head of an answer is never an answer

Report of operators of a similar mesh: a server stopped within the head of its answer and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here: the new spec cuts three heads (chunked, with and without length) at every byte; each ends as a request that may have run, never as an answer.

No code changes.

--- a/internal/serverconn/serverconn_test.go
+++ b/internal/serverconn/serverconn_test.go
@@ -502,3 +502,25 @@
 		Expect(answer.Status).To(Equal(http.StatusOK))
 	})
 })
+
+var _ = Describe("a server that stops within the head of its answer", func() {
+	// Guards against a truncated head that is taken for the head of an empty answer.
+	It("gives no answer, wherever it stops", func() {
+		const head = "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n"
+		const headWithLength = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 12\r\n\r\n"
+		const headWithoutLength = "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"
+		for _, whole := range []string{head, headWithLength, headWithoutLength} {
+			for end := range len(whole) {
+				s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
+					if _, _, ok := readRequest(r); ok {
+						_, _ = io.WriteString(c, whole[:end])
+					}
+				})
+				_, err := do(newClient(s), newGet("a"))
+				Expect(err).To(HaveOccurred(), "%q", whole[:end])
+				Expect(verdict.FromError(err).Verdict).To(Equal(verdict.MayHaveRun), "%q", whole[:end])
+				_ = s.Close() // one server for each case
+			}
+		}
+	})
+})
