Tell refused callers when the first gate has room

What callers saw: a Retry-After of the gate that happened to be asked last. With a limit below one request a second at one server it could be many seconds, while another server had room in a fraction of one; callers that may not wait that long gave up.

Cause: a request that several gates refused ended with the last refusal.

Change: the entry keeps the earliest time at which any gate that refused for lack of room expects some, known full gates included, and sends that.

Test that failed before: TestRetryAfterIsThatOfTheGateWithRoomFirst (10 s instead of 200 ms).

--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -453,3 +453,21 @@
 	}
 	w.Expect(w.peers.sent[1:]).NotTo(ContainElement(w.peers.sent[0]))
 }
+
+// Guards against a Retry-After of the gate that happened to be asked last: a server with a
+// low limit has room after seconds, the other one much sooner.
+func TestRetryAfterIsThatOfTheGateWithRoomFirst(t *testing.T) {
+	const soon, late = 200 * time.Millisecond, 10 * time.Second
+	for range 20 { // the order of the gates is random
+		w := newDispatcherFixture(t, 2)
+		w.peers.answer = func(_ context.Context, _ int, r *contract.Request) (*contract.Answer, error) {
+			if r.Server == "10.0.0.2" {
+				return nil, verdict.Refuse(verdict.ReasonOverloaded, soon)
+			}
+			return nil, verdict.Refuse(verdict.ReasonOverloaded, late)
+		}
+		_, err := w.do(context.Background(), false)
+		w.Expect(err.Verdict).To(Equal(verdict.NotRun))
+		w.Expect(err.RetryAfter).To(BeNumerically("<=", time.Duration((1+retryAfterJitter)*float64(soon))))
+	}
+}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -65,6 +65,9 @@
 	answeredBy mesh.ServerID
 	// lastRefusal is the latest refusal of a gate.
 	lastRefusal *verdict.Error
+	// roomAt is the earliest time at which a gate that refused for lack of room expects
+	// some; zero while none did.
+	roomAt time.Time
 	// lostErr is the error of an attempt that may have run.
 	lostErr *verdict.Error
 }
@@ -133,6 +136,7 @@
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Senders: len(view.Servers),
 	}, now)
 	if listing == nil && fullFor > 0 {
+		t.expectRoom(now.Add(fullFor))
 		// Proof: this attempt was sent to no server.
 		return verdict.Refuse(verdict.ReasonOverloaded, fullFor)
 	}
@@ -265,6 +269,9 @@
 			return nil, false, nil
 		}
 		t.lastRefusal = res.err
+		if isFull(res.err) {
+			t.expectRoom(time.Now().Add(res.err.RetryAfter))
+		}
 		return t.reroute(ctx)
 	}
 	t.lostErr = res.err
@@ -360,11 +367,26 @@
 		return nil, true, t.lostErr
 	default:
 		refusal := *t.lastRefusal
+		if isFull(&refusal) {
+			refusal.RetryAfter = time.Until(t.roomAt)
+		}
 		refusal.RetryAfter = t.jitteredRetryAfter(refusal.RetryAfter)
 		return nil, true, &refusal
 	}
 }
 
+// expectRoom records that a gate that refused the request expects room at a given time.
+func (t *task) expectRoom(at time.Time) {
+	if t.roomAt.IsZero() || at.Before(t.roomAt) {
+		t.roomAt = at
+	}
+}
+
+// isFull reports whether a gate refused for lack of room.
+func isFull(e *verdict.Error) bool {
+	return e.Reason == verdict.ReasonOverloaded || e.Reason == verdict.ReasonCold
+}
+
 // jitteredRetryAfter varies the delay after which a refused caller may retry.
 func (t *task) jitteredRetryAfter(wait time.Duration) time.Duration {
 	wait = max(wait, shortRetryAfter)
