Ask again in tests while a node's copy is not proven recent

Cause: a node answers that a key or route does not exist only while its copy of the store is proven to be at most 2 s old (config-propagation-limit), else 503 with the reason stale-configuration, which is true and safe. The specs asked once.

Change: they ask until they get the status that they want, and accept nothing else before but a refusal for this reason, of a request that did not run.

--- a/test/mesh/fleet_test.go
+++ b/test/mesh/fleet_test.go
@@ -369,6 +369,21 @@
 	return <-done
 }
 
+// expectRejected sends a request that no configuration allows until it gets a status. Until
+// then a node may only refuse it because its copy of the store may be out of date.
+func (f *fleet) expectRejected(m *machine, key, path string, status int) {
+	GinkgoHelper()
+	Eventually(func() int {
+		c := f.doWithKey(m, key, http.MethodGet, path, nil)
+		Expect(f.record.Runs()).NotTo(ContainElement(HaveField("ID", c.id)))
+		if c.status != status {
+			Expect(c.status).To(Equal(http.StatusServiceUnavailable), "%+v\n%s", c, f.logsOf(c.id))
+			Expect(f.logsOf(c.id)).To(ContainSubstring("stale-configuration"))
+		}
+		return c.status
+	}, patience).Should(Equal(status), "%s with key %q", path, key)
+}
+
 // checkPromises checks what callers were told against what the servers ran.
 func (f *fleet) checkPromises(calls []call) {
 	GinkgoHelper()
--- a/test/mesh/keys_test.go
+++ b/test/mesh/keys_test.go
@@ -69,9 +69,7 @@
 			Expect(run.Workspace).To(Equal("north"))
 			Expect(run.Credentials).To(BeEmpty())
 			for _, key := range []string{unknownKey, ""} {
-				c, run = send(m, key)
-				Expect(c.status).To(Equal(http.StatusUnauthorized), "key %q", key)
-				Expect(run).To(BeNil())
+				f.expectRejected(m, key, "/status/a", http.StatusUnauthorized)
 			}
 		}
 		for _, m := range f.machines {
@@ -94,9 +92,7 @@
 		publish(northKey)
 		time.Sleep(revocationLimit)
 		for _, m := range others {
-			c, run := send(m, removedKey)
-			Expect(c.status).To(Equal(http.StatusUnauthorized), f.logsOf(c.id))
-			Expect(run).To(BeNil())
+			f.expectRejected(m, removedKey, "/status/a", http.StatusUnauthorized)
 		}
 		stopped.signal(syscall.SIGCONT)
 		for range 20 {
@@ -121,9 +117,7 @@
 		f.store.SetMode(standin.MetaStoreUp)
 		for _, m := range f.machines {
 			Eventually(func() bool { c, _ := send(m, northKey); return c.good() }, patience).Should(BeTrue())
-			c, run := send(m, removedKey)
-			Expect(c.status).To(Equal(http.StatusUnauthorized), f.logsOf(c.id))
-			Expect(run).To(BeNil())
+			f.expectRejected(m, removedKey, "/status/a", http.StatusUnauthorized)
 		}
 	})
 
--- a/test/mesh/soak_test.go
+++ b/test/mesh/soak_test.go
@@ -164,7 +164,7 @@
 		}
 	}
 	Expect(goodShare(calls, settled)).To(BeNumerically(">=", recoveredShare))
-	Expect(s.do(s.machines[0], http.MethodGet, "/nowhere/", nil).status).To(Equal(http.StatusNotFound))
+	s.expectRejected(s.machines[0], s.key, "/nowhere/", http.StatusNotFound)
 }
 
 // logsOfSeed returns the directory for the logs of a seed.
