Ignore unknown fields of the settings file, and name them in the log

What callers saw: hosts without a node. Seen by the users with an older build beside the settings of a newer one: it ended at once with code 2 ("config file flag ... not defined"), three times and more on three hosts.

Cause: the file was parsed like the command line, where an unknown name is a typing error. A file may be written for a newer version that was rolled back; the platform's page asks to ignore what is not known.

Change: unknown fields are skipped and named in a warning at the start and after a reload.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/phuslu/log"
 
 	"boragefall/internal/node"
 	"boragefall/internal/settings"
@@ -28,7 +29,7 @@
 		FlagSet: flags,
 		Options: []ff.Option{
 			ff.WithConfigFileFlag("settings"),
-			ff.WithConfigFileParser(ff.JSONParser),
+			ff.WithConfigFileParser(s.FileParser(flags)),
 			ff.WithEnvVarPrefix(settings.EnvPrefix),
 		},
 		Exec: func(ctx context.Context, _ []string) error {
@@ -56,6 +57,7 @@
 	if err != nil {
 		return &ExitError{Code: ExitNo, Err: err}
 	}
+	logUnknownFields(logger, s)
 	logger.Info().Str("part", "node").Str("host", s.Host).
 		Str("callers", n.CallersAddress()).Str("admin", n.AdminAddress()).Msg("node started")
 	select {
@@ -71,3 +73,10 @@
 		return &ExitError{Code: ExitNo}
 	}
 }
+
+// logUnknownFields logs the fields of the settings file that were ignored.
+func logUnknownFields(logger *log.Logger, s settings.Settings) {
+	if len(s.UnknownFields) > 0 {
+		logger.Warn().Str("part", "node").Strs("fields", s.UnknownFields).Msg("ignored unknown fields of the settings file")
+	}
+}
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -45,6 +45,7 @@
 		logger.Error().Str("part", "node").Err(err).Msg("start failed")
 		return &ExitError{Code: ExitNo, Err: err}
 	}
+	logUnknownFields(logger, s)
 	logger.Info().Str("part", "node").Str("host", s.Host).Str("data_centre", s.DataCentre).Str("service", s.Service).
 		Int("memory_mb", s.MemoryMB).Msg("node started")
 	r := &reloader{current: s, store: store, node: n, logger: logger}
@@ -110,6 +111,7 @@
 		r.logger.Warn().Str("part", "node").Err(err).Msg("settings rejected, the old ones hold")
 		return
 	}
+	logUnknownFields(r.logger, next)
 	limitMemory(next)
 	r.logger.SetLevel(log.ParseLevel(next.LogLevel))
 	r.store.SetAddress(next.Store)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"net/url"
@@ -28,6 +29,9 @@
 type Settings struct {
 	// File is the settings file; empty when there is none.
 	File string
+	// UnknownFields names the fields of the file that this version doesn't know and ignores:
+	// a file may be written for a newer version.
+	UnknownFields []string
 	// Host names the host in the platform's host list. Required.
 	Host string
 	// DataCentre and Region are the location of the host. Required.
@@ -120,7 +124,7 @@
 	flags.SetOutput(os.Stderr)
 	err := ff.Parse(flags, args,
 		ff.WithConfigFileFlag("settings"),
-		ff.WithConfigFileParser(ff.JSONParser),
+		ff.WithConfigFileParser(s.FileParser(flags)),
 		ff.WithEnvVarPrefix(EnvPrefix),
 	)
 	if errors.Is(err, flag.ErrHelp) {
@@ -132,6 +136,20 @@
 	return s, s.Check()
 }
 
+// FileParser returns a parser of the settings file that records and skips the fields that
+// are not in flags.
+func (s *Settings) FileParser(flags *flag.FlagSet) ff.ConfigFileParser {
+	return func(r io.Reader, set func(name, value string) error) error {
+		return ff.JSONParser(r, func(name, value string) error {
+			if flags.Lookup(name) == nil {
+				s.UnknownFields = append(s.UnknownFields, name)
+				return nil
+			}
+			return set(name, value)
+		})
+	}
+}
+
 // FlagSet returns a flag set that stores its values in s.
 func (s *Settings) FlagSet(name string) *flag.FlagSet {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
