Do not lock the prober and the last hop in both orders

What callers saw: nothing traced to it. A node that meets this stops for good: it holds its view, refuses nothing and answers nothing that needs its gate, until it is killed.

Cause: a new view locks the last hop and then the prober (Update, holdAndProbe); the end of a health check locked the prober and then the last hop (recordResponder). Both happen when a server is started again: its record changes while the gate checks its health. Present since the gate remembers which server answered it; found while the health check learnt to read notices.

Change: what a health check observes goes to the last hop before the prober's lock is taken.

Test that failed before: TestHealthChecksAndNewViewsDoNotBlockEachOther (timed out after 20 s with both goroutines in sync.Mutex.Lock; 0.2 s now).

--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -81,6 +81,8 @@
 	}
 	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
 	if err == nil {
+		// Before p.mu is locked: the hop locks it while its own lock is held.
+		p.hop.recordResponder(reply.Server)
 		p.hop.observeHealthNotice(reply)
 	}
 	p.mu.Lock()
@@ -98,7 +100,6 @@
 		return true
 	}
 	p.running = false
-	p.hop.recordResponder(reply.Server)
 	p.logResult("server heard of", reply.ColdFor, nil)
 	p.hop.gate.MarkUp(reply.ColdFor)
 	return true
