Ask a gate again after a second, however long it expects no room

What callers saw: a server with a limit far below one request a second was not asked for its next request's time, seconds to an hour, also when it had long been well again.

Cause: entries pass over a gate that refused for lack of room until its Retry-After, which a stated limit can make very long.

Change: an entry asks such a gate again after a second. What a refused caller is told stays the gate's own time.

Test that failed before: TestGateThatExpectsNoRoomForLongIsAskedAgainSoon (the gate was passed over for 100 s).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -65,6 +65,9 @@
 	// maxLimitWait bounds the cost of a server that accepts almost no requests, below that
 	// of servers that are chosen last.
 	maxLimitWait = 10 * time.Second
+	// fullRecheckInterval is the time after which a gate that expects no room for longer is
+	// asked again.
+	fullRecheckInterval = time.Second
 	// stateTTL is how long the state of an unlisted server is kept.
 	stateTTL = 30 * time.Second
 )
@@ -112,8 +115,8 @@
 	ejectedUntil  time.Time
 	// closedUntil is the time until which the gate refuses all requests.
 	closedUntil time.Time
-	// fullUntil holds, by class, the time until which the gate refuses requests.
-	fullUntil map[string]time.Time
+	// full holds, by class, for how long the gate refuses requests.
+	full map[string]fullMark
 	// tokens is the number of requests that may be sent to the server while it is cold.
 	tokens      float64
 	refilledAt  time.Time
@@ -125,6 +128,13 @@
 	delayMeasuredAt time.Time
 }
 
+// fullMark is a gate's statement that it refuses a class of requests.
+type fullMark struct {
+	// until is when the gate expects room, and askAgainAt when it is asked again, which is
+	// sooner if until is far away: the server's limit may end before.
+	until, askAgainAt time.Time
+}
+
 // New returns the balancer of a node in a data centre. random returns values from 0 to 1
 // and is called by one goroutine at a time.
 func New(dataCentre string, random func() float64) *Balancer {
@@ -147,7 +157,7 @@
 		if slices.Contains(r.Excluded, l.ID) {
 			continue
 		}
-		if wait := b.stateOf(l.ID, now).refusalRemaining(r.Class, now); wait > 0 {
+		if wait := b.stateOf(l.ID, now).refusal(r.Class, now); wait > 0 {
 			if retryIn == 0 || wait < retryIn {
 				retryIn = wait
 			}
@@ -171,9 +181,14 @@
 	return best, 0
 }
 
-// refusalRemaining returns for how long the gate reported that it refuses a class.
-func (s *serverState) refusalRemaining(class string, now time.Time) time.Duration {
-	return max(s.closedUntil.Sub(now), s.fullUntil[class].Sub(now))
+// refusal returns the time after which the gate expects room for a class, or 0 if it may be
+// asked now.
+func (s *serverState) refusal(class string, now time.Time) time.Duration {
+	mark := s.full[class]
+	if now.Before(mark.askAgainAt) {
+		return max(s.closedUntil.Sub(now), mark.until.Sub(now))
+	}
+	return max(s.closedUntil.Sub(now), 0)
 }
 
 // MarkFull records that a gate refuses requests of a class until a given time.
@@ -181,12 +196,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateOf(id, now)
-	for known, end := range s.fullUntil {
-		if now.After(end) {
-			delete(s.fullUntil, known)
+	for known, mark := range s.full {
+		if now.After(mark.askAgainAt) {
+			delete(s.full, known)
 		}
 	}
-	s.fullUntil[class] = until
+	mark := fullMark{until: until, askAgainAt: until}
+	if limit := now.Add(fullRecheckInterval); mark.askAgainAt.After(limit) {
+		mark.askAgainAt = limit
+	}
+	s.full[class] = mark
 }
 
 // MarkClosed records that a gate refuses all requests until a given time.
@@ -263,7 +282,7 @@
 func (b *Balancer) stateOf(id mesh.ServerID, now time.Time) *serverState {
 	s := b.servers[id]
 	if s == nil {
-		s = &serverState{tokens: b.random(), refilledAt: now, fullUntil: map[string]time.Time{}}
+		s = &serverState{tokens: b.random(), refilledAt: now, full: map[string]fullMark{}}
 		b.servers[id] = s
 	}
 	s.lastUsedAt = now
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -279,3 +279,17 @@
 	got = countChoices(newBalancer(), servers, r, loads, 200, 10*time.Millisecond)
 	g.Expect(got["a0"]).To(BeNumerically(">", 190), "%v", got)
 }
+
+// Guards against a gate that is not asked for minutes, because its server stated a limit far
+// below one request a second and has long been well again.
+func TestGateThatExpectsNoRoomForLongIsAskedAgainSoon(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer()
+	servers := listed("north")
+	b.MarkFull("a0", "order", start.Add(100*time.Second), start)
+	l, wait := b.Choose(servers, Request{Class: "order"}, start.Add(fullRecheckInterval/2))
+	g.Expect(l).To(BeNil())
+	g.Expect(wait).To(Equal(100*time.Second - fullRecheckInterval/2))
+	l, _ = b.Choose(servers, Request{Class: "order"}, start.Add(fullRecheckInterval))
+	g.Expect(l).NotTo(BeNil())
+}
