Compute Retry-After of refused waiting requests after the queue is settled

What callers saw: nothing; a wrong Retry-After of requests that a gate refuses from its queue under a stated limit.

Cause: the queue was compacted in place while the requests ahead of a refused one were counted in it.

Change: both places that refuse some of the waiting requests share one function, which compacts the queue first.

--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -251,17 +251,29 @@
 // refuseExpired refuses the waiting requests that can't finish in time. Under overload it
 // also refuses those that were expected to miss their objective when they were accepted.
 func (m *Machine) refuseExpired(now time.Time) {
+	m.refuseWaitingIf(func(t *Ticket, _ int) bool {
+		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class) / slotTurnoverFactor).After(t.request.Deadline)
+		return cannotFinish || m.overloaded(now) && t.expectedLate
+	}, now)
+}
+
+// refuseWaitingIf refuses the waiting requests for which condition is true. ahead is the
+// number of requests kept before t.
+func (m *Machine) refuseWaitingIf(condition func(t *Ticket, ahead int) bool, now time.Time) {
 	kept := m.waiting[:0]
+	var refused []*Ticket
 	for _, t := range m.waiting {
-		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class) / slotTurnoverFactor).After(t.request.Deadline)
-		if cannotFinish || m.overloaded(now) && t.expectedLate {
-			t.decision <- verdict.Refuse(m.busyReason(now), m.retryAfter(t, 0, now))
-			continue
+		if condition(t, len(kept)) {
+			refused = append(refused, t)
+		} else {
+			kept = append(kept, t)
 		}
-		kept = append(kept, t)
 	}
 	clear(m.waiting[len(kept):])
 	m.waiting = kept
+	for _, t := range refused {
+		t.decision <- verdict.Refuse(m.busyReason(now), m.retryAfter(t, 0, now))
+	}
 }
 
 // SetRateLimit sets the request limit that the server states. Waiting requests that can
@@ -277,17 +289,10 @@
 		}
 		return 1
 	})
-	kept := m.waiting[:0]
-	for _, t := range m.waiting {
-		finish := now.Add(m.limiter.wait(t.request, len(kept), now) + m.expectedServiceTime(t.request.Class)/slotTurnoverFactor)
-		if finish.After(t.request.Deadline) {
-			t.decision <- verdict.Refuse(m.busyReason(now), m.retryAfter(t, 0, now))
-			continue
-		}
-		kept = append(kept, t)
-	}
-	clear(m.waiting[len(kept):])
-	m.waiting = kept
+	m.refuseWaitingIf(func(t *Ticket, ahead int) bool {
+		finish := now.Add(m.limiter.wait(t.request, ahead, now) + m.expectedServiceTime(t.request.Class)/slotTurnoverFactor)
+		return finish.After(t.request.Deadline)
+	}, now)
 }
 
 // RecordHealthCheck counts a health check, which the server counts as a request.
