--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -119,14 +119,14 @@
 }
 
 func newDispatcherFixture(t *testing.T, servers int) *dispatcherFixture {
-	mesh := newTestCatalog(servers)
+	replica := newTestCatalog(servers)
 	crashes, err := newCrashTracker(func(uint64) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	hop, err := NewLastHop(LastHopConfig{
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
-		Address:   "10.0.0.1:8000", Service: "other", View: mesh.View, MarkLeaving: mesh.MarkLeaving,
+		Address:   "10.0.0.1:8000", Service: "other", View: replica.View, MarkLeaving: replica.MarkLeaving,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Crashes: crashes, Logger: telemetry.Silent(),
 		Bodies: newBodyReceiver(0, 0),
 	})
@@ -136,8 +136,8 @@
 	w := &dispatcherFixture{WithT: NewWithT(t), peers: &fakePeers{fence: func(string) (bool, error) { return true, nil }}}
 	w.dispatcher = &Dispatcher{
 		answerSizes: newAnswerSizes(),
-		headers:     platform.Headers{}, markLeaving: mesh.MarkLeaving,
-		hop: hop, view: mesh.View, peers: w.peers, balancer: balance.New("north", rand.Float64),
+		headers:     platform.Headers{}, markLeaving: replica.MarkLeaving,
+		hop: hop, view: replica.View, peers: w.peers, balancer: balance.New("north", rand.Float64),
 		retryBudget: RetryBudget{Ratio: 0.2, Slack: float64(4 * servers)}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	return w
--- a/test/mesh/fleet_test.go
+++ b/test/mesh/fleet_test.go
@@ -369,8 +369,9 @@
 	return <-done
 }
 
-// expectRejected sends a request that no configuration allows until it gets a status. Until
-// then a node may only refuse it because its copy of the store may be out of date.
+// expectRejected sends a request that no configuration allows until it gets a status, for at
+// most configBound, in which a node has to obtain a recent copy of the store. Until then the
+// node may only refuse the request because its copy may be out of date.
 func (f *fleet) expectRejected(m *machine, key, path string, status int) {
 	GinkgoHelper()
 	Eventually(func() int {
@@ -381,7 +382,7 @@
 			Expect(f.logsOf(c.id)).To(ContainSubstring("stale-configuration"))
 		}
 		return c.status
-	}, patience).Should(Equal(status), "%s with key %q", path, key)
+	}, configBound).Should(Equal(status), "%s with key %q", path, key)
 }
 
 // checkPromises checks what callers were told against what the servers ran.
