--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -50,6 +50,9 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// started holds the node processes that run, by id.
+var started sync.Map
+
 // ports are the same on all machines; each machine has a loopback address.
 type ports struct{ callers, links, ready, admin, server int }
 
@@ -194,8 +197,10 @@
 	}
 	exited := make(chan struct{})
 	m.node, m.exited = node, exited
+	started.Store(node.Process.Pid, node.Process)
 	go func() {
-		_ = node.Wait() // the state is read from the process
+		_ = node.Wait() // how it ended does not matter
+		started.Delete(node.Process.Pid)
 		close(exited)
 	}()
 	m.fleet.record.add("node %s starts", m.ip)
@@ -257,9 +262,9 @@
 
 // send sends one request from a client on a machine and records it.
 func (m *machine) send(method, path string, body []byte) answer {
-	const limit = 1200 * time.Millisecond
+	const patience = 1200 * time.Millisecond
 	a := answer{id: strings.ReplaceAll(uuid.NewString(), "-", "")[:16], sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.at(m.fleet.ports.callers)+path, bytes.NewReader(body))
 	if err != nil {
@@ -267,7 +272,7 @@
 	}
 	request.Host = "mesh.example"
 	request.Header.Set("Request-Id", a.id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	request.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
 	m.fleet.record.add("sent %s %s %s at %s", a.id, method, path, m.ip)
 	response, err := m.client.Do(request)
 	if err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
+// limit is the longest time that a case may take.
+const limit = 118 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -23,6 +28,21 @@
 
 func main() { os.Exit(play(os.Args[1:])) }
 
+// endAtSignal ends all nodes and this program at a signal, or when the case takes too long.
+func endAtSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(limit):
+	}
+	started.Range(func(_, process any) bool {
+		_ = process.(*os.Process).Kill() // it may have ended
+		return true
+	})
+	os.Exit(exitNotRun)
+}
+
 // play plays one case: harness CASE PROGRAM RECORD.
 func play(args []string) int {
 	if len(args) != 3 || cases[args[0]] == nil {
@@ -46,6 +66,7 @@
 		fmt.Fprintln(os.Stderr, "logs in", dir)
 	}
 	rec := &record{file: file, began: time.Now()}
+	go endAtSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	seen, broken, err := cases[args[0]](args[1], dir, rec, trouble)
 	if err != nil {
--- a/review/harness/popular.go
+++ b/review/harness/popular.go
@@ -48,7 +48,7 @@
 func (t *tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
 // playPopular adds a route on which many clients read the same page. Then servers lose
-// some answers for some seconds, twice. It compares how often requests on both routes are served
+// some answers for some seconds, three times. It compares how often requests on both routes are served
 // in the calm time after that.
 func playPopular(program, dir string, rec *record, trouble bool) (string, bool, error) {
 	places := []place{
@@ -82,7 +82,7 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	for _, losing := range [][]*machine{nodes[:3], nodes[2:]} {
+	for _, losing := range [][]*machine{nodes[:3], nodes[2:], {nodes[4], nodes[0], nodes[1]}} {
 		if trouble {
 			for _, m := range losing {
 				rec.add("server at %s loses answers", m.ip)
