--- a/review/harness/popular.go
+++ b/review/harness/popular.go
@@ -11,11 +11,13 @@
 	// them at a time.
 	lostShare = 0.4
 	lostFor   = 4 * time.Second
-	// calm is the time between the disruptions, in which machines are in touch again.
-	calm = contact + 5*time.Second
-	// boardWork and readInterval make servers about two thirds busy.
+	// pause is the time between the disruptions, and calm the time after the last one, in
+	// which machines are in touch again.
+	pause = 4 * time.Second
+	calm  = contact + 5*time.Second
+	// boardWork and readInterval make servers about seven tenths busy.
 	boardWork    = 90 * time.Millisecond
-	readInterval = 30 * time.Millisecond
+	readInterval = 26 * time.Millisecond
 	// fewRequests is the number of requests on a later route below which the rule is silent.
 	fewRequests = 20
 )
@@ -48,7 +50,7 @@
 func (t *tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
 // playPopular adds a route on which many clients read the same page. Then servers lose
-// some answers for some seconds, three times. It compares how often requests on both routes are served
+// some answers for some seconds, four times. It compares how often requests on both routes are served
 // in the calm time after that.
 func playPopular(program, dir string, rec *record, trouble bool) (string, bool, error) {
 	places := []place{
@@ -82,7 +84,7 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	for _, losing := range [][]*machine{nodes[:3], nodes[2:], {nodes[4], nodes[0], nodes[1]}} {
+	for _, losing := range [][]*machine{nodes[:3], nodes[2:], {nodes[4], nodes[0], nodes[1]}, {nodes[3], nodes[4], nodes[0]}} {
 		if trouble {
 			for _, m := range losing {
 				rec.add("server at %s loses answers", m.ip)
@@ -94,8 +96,9 @@
 			m.server.lose(0)
 		}
 		rec.add("no answers are lost any more")
-		time.Sleep(calm)
+		time.Sleep(pause)
 	}
+	time.Sleep(calm)
 	rec.add("steady state")
 	onFirst.start()
 	onLater.start()
