Count a crash against a request only if its server ended and none answered it

Cause: each run without an answer counted as a crash of its server, once for each connection; requests without a body share a fingerprint; crashes were reported to all gates and a success cleared the gate that saw it only. With a request that does crash servers, the page is running at nearly all of its crashes.

Change: a broken run counts once the server is known to have ended (no connections, or another incarnation answers), not if the same incarnation answers later. Runs that overlap count once, at one server or several. An answer to a run clears the count at all gates of the service (new field of the notice; older nodes ignore it); a server's refusal, which cleared it too, does not. New log lines and the gauge quarantined_requests tell the cases apart.

Why it works: a request that crashes each server that runs it is never answered, and its next run begins after the crash before; one that only ran beside it is answered.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -236,8 +236,8 @@
 	}, nil
 }
 
-func newNotifyingCrashTracker(n *peerDirectory) (*crashTracker, error) {
-	return newCrashTracker(n.notifyCrash)
+func newNotifyingCrashTracker(n *peerDirectory, logger *log.Logger) (*crashTracker, error) {
+	return newCrashTracker(n.notifyCrash, logger)
 }
 
 func newServerClient(s settings.Settings, p Platform) *serverconn.Client {
@@ -354,6 +354,9 @@
 		}
 		return -1
 	})
+	m.Gauge("quarantined_requests", "Requests that are refused because servers crashed while they ran them.", func() float64 {
+		return float64(hop.crashes.quarantinedRequests(time.Now()))
+	})
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -103,15 +103,13 @@
 	return n.Follow(ctx, address, revision, 0)
 }
 
-// notifyCrash notifies the other gates of the service that a server broke off a run of
-// a request.
-func (n *peerDirectory) notifyCrash(fingerprint uint64) {
+// notifyCrash sends a notice to the other gates of the service.
+func (n *peerDirectory) notifyCrash(notice crashNotice) {
 	for _, address := range n.addresses(func(l *catalog.Listing) bool { return l.Service == n.service }) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), crashNoticeTimeout)
 			defer cancel()
-			notice := &wire.CrashNotice{Fingerprints: []uint64{fingerprint}}
-			if err := n.control.NotifyCrash(ctx, address, notice); err != nil {
+			if err := n.control.NotifyCrash(ctx, address, encodeCrashNotice(notice, time.Now())); err != nil {
 				n.logger.Debug().Str("part", "gate").Str("peer", address).Err(err).Msg("failed to send a crash notice to a peer")
 			}
 		}()
@@ -149,9 +147,7 @@
 	case opening.GetCreditRequest() != nil:
 		s.reply(stream, s.quotas.answer(opening.GetCreditRequest()))
 	case opening.GetCrashNotice() != nil:
-		for _, fingerprint := range opening.GetCrashNotice().GetFingerprints() {
-			s.crashes.recordCrash(fingerprint, time.Now())
-		}
+		s.crashes.applyNotice(decodeCrashNotice(opening.GetCrashNotice(), time.Now()))
 		s.reply(stream, &wire.CrashNotice{})
 	}
 }
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -79,9 +79,11 @@
 	if view.Config == nil {
 		return false
 	}
+	sentAt := time.Now()
 	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
 	if err == nil {
 		// Before p.mu is locked: the hop locks it while its own lock is held.
+		p.hop.crashes.recordResponder(reply.Server, sentAt)
 		p.hop.recordResponder(reply.Server)
 		p.hop.observeHealthNotice(reply)
 	}
@@ -91,6 +93,7 @@
 		e := verdict.FromError(err)
 		if e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonUnreachable {
 			p.hop.gate.MarkDown()
+			p.hop.crashes.recordUnreachable()
 			p.logResult("server takes no connections", 0, err)
 			return false
 		}
--- a/internal/standin/meshserver.go
+++ b/internal/standin/meshserver.go
@@ -67,9 +67,11 @@
 	store  *MetaStore
 	record *MeshRecord
 
-	mu      sync.Mutex
-	life    *meshLife
-	starts  int
+	mu     sync.Mutex
+	life   *meshLife
+	starts int
+	// fault, if set, reports whether the answer to a request that ran is lost.
+	fault   func(*http.Request) bool
 	running atomic.Int64
 }
 
@@ -141,6 +143,14 @@
 	s.life.statements.Store(name, value)
 }
 
+// SetFault sets a function that is called while a request runs. The server resets the
+// connection instead of answering if it returns true.
+func (s *MeshServer) SetFault(fault func(*http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
 // Crash ends the incarnation at once; its entry stays.
 func (s *MeshServer) Crash() {
 	s.mu.Lock()
@@ -210,12 +220,22 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.loses(r) {
+		panic(http.ErrAbortHandler)
+	}
 	answer := MeshAnswer(id, len(body))
 	header.Set("Response-Signature", MeshSignature(answer))
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = w.Write(answer) // the node has left
 }
 
+func (s *MeshServer) loses(r *http.Request) bool {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	return fault != nil && fault(r)
+}
+
 // MeshAnswer returns the body with which servers answer a request.
 func MeshAnswer(id string, bodyBytes int) []byte {
 	return fmt.Appendf(nil, "request %s had %d bytes\n", id, bodyBytes)
