Bound the head of a server's answer in the plain installation

What callers would have seen (operators' report): a faulty server sends bytes that are no answer, without end; the node keeps them, runs out of memory and ends.

Cause: internal/backend left the head of an answer at the default limit of net/http, 10 MB for each connection. On the platform internal/serverconn bounds all of it.

The specs of internal/serverconn send health checks too now and passed before.

Change: a head, with the interim answers before it, is at most 64 KB; also for the client of the configuration's source. The connection is closed beyond it.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -18,6 +18,10 @@
 	"boragefall/internal/verdict"
 )
 
+// maxAnswerHead bounds the head of an answer in bytes, with the interim answers before it,
+// like that of a request. A faulty server may send a head that never ends.
+const maxAnswerHead = 64 << 10
+
 // Client sends requests to one backend server over pooled connections.
 type Client struct {
 	cfg       Config
@@ -34,12 +38,13 @@
 func (c *Client) newTransport(connections int) *http.Transport {
 	dialer := net.Dialer{Timeout: c.cfg.DialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConns:        connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     c.cfg.IdleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        c.cfg.IdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHead,
 	}
 }
 
--- a/internal/configservice/client.go
+++ b/internal/configservice/client.go
@@ -30,6 +30,9 @@
 	pathHostsWatch = "/v1/hosts/watch"
 )
 
+// maxResponseHeaderBytes bounds the headers of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 // Client is a read-only client of the platform. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
@@ -42,7 +45,7 @@
 	cfg = cfg.withDefaults()
 	cfg.BaseURL = strings.TrimRight(cfg.BaseURL, "/")
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+		transport = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	}
 	return &Client{
 		cfg:    cfg,
--- a/internal/serverconn/endless_test.go
+++ b/internal/serverconn/endless_test.go
@@ -63,12 +63,17 @@
 			c := newClient(s)
 			used := bytesAllocated(func() {
 				var work sync.WaitGroup
-				for range concurrentRequests {
+				for i := range concurrentRequests {
 					work.Go(func() {
 						defer GinkgoRecover()
 						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 						defer cancel()
-						_, err := c.Do(ctx, newGet("1"))
+						request := newGet("1")
+						if i%2 == 1 {
+							request = newGet("")
+							request.ServerRequest.Probe = true
+						}
+						_, err := c.Do(ctx, request)
 						Expect(verdict.FromError(err).Verdict).To(Equal(verdict.MayHaveRun))
 						Expect(verdict.FromError(err).Reason).To(Equal(verdict.ReasonConnectionLost))
 						Expect(ctx.Err()).NotTo(HaveOccurred())
