Keep a link whose stream ended because of the caller's body

What callers saw: requests in progress got 502 when another caller of the same node sent a body that could not be read to its end while it was passed on.

Cause: the entry ends the stream of such a request. That was taken for a lost link: the link was closed with all requests on it, and the server avoided for a second.

Evidence: test/mesh "an upload that its caller does not complete" fails on (an order that ran got 502, "link lost, asked the gate"); TestBrokenBodyDoesNot- DropTheLink.

Change: an attempt records why its body failed. Then only the gate is asked whether it handed the request over; the link and the server are left alone.

--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -18,6 +18,7 @@
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
+	"boragefall/internal/intake"
 	"boragefall/internal/mesh"
 	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
@@ -32,6 +33,7 @@
 	answer     func(ctx context.Context, n int, r *contract.Request) (*contract.Answer, error)
 	fence      func(id string) (bool, error)
 	fenceCalls int
+	drops      int
 }
 
 func (p *fakePeers) Do(ctx context.Context, _ string, r *contract.Request) (*contract.Answer, error) {
@@ -44,6 +46,12 @@
 
 func (p *fakePeers) BootMillis(string) int64 { return 1 }
 
+func (p *fakePeers) DropLink(string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drops++
+}
+
 func (p *fakePeers) Fence(_ context.Context, _, id string, _ int64) (bool, error) {
 	p.mu.Lock()
 	p.fenceCalls++
@@ -169,6 +177,35 @@
 	w.Expect(e.Verdict).To(Equal(verdict.MayHaveRun))
 	w.Expect(w.peers.sendCount()).To(Equal(1))
 	w.Expect(w.peers.fenceCalls).To(Equal(1))
+	w.Expect(w.peers.drops).To(Equal(1))
+}
+
+// failingBody is a body that its caller does not complete.
+type failingBody struct{ err error }
+
+func (b failingBody) Open() (io.Reader, bool)  { return b, true }
+func (b failingBody) Buffered() bool           { return false }
+func (b failingBody) Read([]byte) (int, error) { return 0, b.err }
+
+// Guards against a caller whose body stalls and that thereby closes the link to a node, on
+// which the requests of other callers are in progress.
+func TestBrokenBodyDoesNotDropTheLink(t *testing.T) {
+	for _, handedOver := range []bool{false, true} {
+		w := newDispatcherFixture(t, 3)
+		w.peers.fence = func(string) (bool, error) { return handedOver, nil }
+		w.peers.answer = func(_ context.Context, _ int, r *contract.Request) (*contract.Answer, error) {
+			_, err := r.Body.Read(nil)
+			w.Expect(err).To(HaveOccurred())
+			return nil, lostLinkError()
+		}
+		now := time.Now()
+		_, e := w.dispatcher.Do(t.Context(), &contract.Request{
+			ID: "9c41", Service: "orders", Route: "order", ContentLength: 3_000_000,
+			Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond),
+		}, &mesh.Route{Name: "order", MaxAttempts: 2}, failingBody{verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, intake.ErrSlowBody)})
+		w.Expect(w.peers.drops).To(BeZero())
+		w.Expect(e.Verdict == verdict.NotRun).To(Equal(!handedOver))
+	}
 }
 
 func TestFencedRequestIsRetriedAfterItsLinkIsLost(t *testing.T) {
--- a/internal/sidecar/linkpeers.go
+++ b/internal/sidecar/linkpeers.go
@@ -21,7 +21,9 @@
 	// BootMillis returns the boot time of the process at the other end of the current link to
 	// a node; 0 if unknown.
 	BootMillis(address string) int64
-	// Fence asks a gate over a new link never to hand a request over. It reports
+	// DropLink closes the link to a node, since it lost a request.
+	DropLink(address string)
+	// Fence asks a gate over another link never to hand a request over. It reports
 	// whether the request was already handed over. It fails if the gate's process does
 	// not have the given boot time.
 	Fence(ctx context.Context, address, id string, bootMillis int64) (handedOver bool, err error)
@@ -51,9 +53,13 @@
 	return p.links.BootMillis(address)
 }
 
-// Fence drops the link for requests, since it lost one, and asks over the control link.
-func (p linkPeers) Fence(ctx context.Context, address, id string, bootMillis int64) (bool, error) {
+// DropLink closes the link for requests to a node.
+func (p linkPeers) DropLink(address string) {
 	p.links.Drop(address)
+}
+
+// Fence asks over the control link.
+func (p linkPeers) Fence(ctx context.Context, address, id string, bootMillis int64) (bool, error) {
 	answer, err := p.control.Fence(ctx, address, &wire.Bar{Id: id})
 	if err != nil {
 		return true, err
--- a/internal/sidecar/loadworld_test.go
+++ b/internal/sidecar/loadworld_test.go
@@ -176,6 +176,8 @@
 
 func (w *loadSimulation) BootMillis(string) int64 { return 1 }
 
+func (w *loadSimulation) DropLink(string) {}
+
 func (w *loadSimulation) Fence(_ context.Context, peer, id string, _ int64) (bool, error) {
 	return w.byPeer[peer].hop.Fence(id), nil
 }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -152,7 +152,7 @@
 	}
 	t.tried = append(t.tried, listing.ID)
 	outgoing := *t.request
-	outgoing.Body = reader
+	outgoing.Body = &attemptReader{Reader: reader}
 	outgoing.Server = string(listing.ID)
 	outgoing.HostListRevision = listing.Revision
 	outgoing.RateLimit = t.dispatcher.balancer.RateLimit(listing.ID)
@@ -211,8 +211,15 @@
 		d.balancer.MarkClosed(listing.ID, now.Add(leavingEjectionTime), now)
 	}
 	if failure.Reason == verdict.ReasonConnectionLost && load == nil && listing.Address != d.hop.address {
-		d.balancer.Eject(listing.ID, now.Add(unreachableEjectionTime), now)
-		failure = t.fence(ctx, listing, peer, boot, failure)
+		refusal := verdict.Refuse(verdict.ReasonUnreachable, shortRetryAfter)
+		if broken := r.Body.(*attemptReader).failure(); broken != nil {
+			// The entry ended the stream itself; the link carries other requests.
+			refusal = verdict.Refuse(broken.Reason, shortRetryAfter)
+		} else {
+			d.balancer.Eject(listing.ID, now.Add(unreachableEjectionTime), now)
+			d.peers.DropLink(peer)
+		}
+		failure = t.fence(ctx, listing, peer, boot, failure, refusal)
 	}
 	t.results <- result{listing: listing, err: failure, hedge: r.Hedge}
 }
@@ -233,19 +240,19 @@
 	}
 }
 
-// fence turns the loss of a link into a proof that the request did not run, if the gate
-// is still reachable and never handed the request over.
-func (t *task) fence(ctx context.Context, listing *catalog.Listing, peer string, boot int64, lost *verdict.Error) *verdict.Error {
+// fence turns the loss of a stream into a refusal, if the gate is still reachable and never
+// handed the request over.
+func (t *task) fence(ctx context.Context, listing *catalog.Listing, peer string, boot int64, lost, refusal *verdict.Error) *verdict.Error {
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 	handedOver, err := t.dispatcher.peers.Fence(ctx, peer, t.request.ID, boot)
 	t.dispatcher.logger.Info().Str("part", "entry").Str("request", t.request.ID).Str("server", string(listing.ID)).
-		Bool("handed_over", handedOver).AnErr("cause", err).Msg("link lost, asked the gate")
+		Bool("handed_over", handedOver).AnErr("cause", err).Str("refusal", refusal.Reason.String()).Msg("link lost, asked the gate")
 	if err != nil || handedOver {
 		return lost
 	}
 	// Proof: the gate will never hand this ID to its server.
-	return verdict.Refuse(verdict.ReasonUnreachable, shortRetryAfter)
+	return refusal
 }
 
 // handleResult decides how to proceed after an attempt. done reports that the request
