Pass on nothing that a stopping node will not answer

What callers saw (operators' report): late in the grace of a planned stop requests were taken, ran, and were cut off without an answer, unsafe ones among them; others on open connections were closed unread from 2.5 s on.

Cause: a stopping node passed on whatever had begun to arrive, however little of the drain was left, and Shutdown of net/http drops what its connections read later.

Change: no attempt starts that is expected to outlast the drain, at the entry and at the gate; a body that is passed on while it arrives ends with a refusal in that case; gates get the drain's end as the deadline. The callers' listener closes at the end of the drain; before, requests get 503 with Retry-After, and calls of runs in progress are served.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -161,6 +161,14 @@
 	g.wakeTimer.Reset(wait)
 }
 
+// ExpectedServiceTime returns the mean service time of a class of requests; 0 if it is
+// not known.
+func (g *Gate) ExpectedServiceTime(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.expectedServiceTime(class)
+}
+
 // Load returns the server's current load.
 func (g *Gate) Load() contract.Load {
 	g.mu.Lock()
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -55,6 +55,10 @@
 	// linkPort is the port on which all nodes accept links.
 	linkPort    string
 	answerSizes *answerSizes
+	// answerTimes predicts how long a request takes; drain holds the time until which this
+	// node delivers answers while it is stopping.
+	answerTimes *answerTimes
+	drain       *drainEnd
 	headers     protocol.NoticeReader
 	// markLeaving records that a server stated that it leaves.
 	markLeaving func(*mesh.Server)
@@ -87,6 +91,11 @@
 	return answer, nil
 }
 
+// isNestedCall reports whether a request is a call of a run of the server beside this node.
+func (d *Dispatcher) isNestedCall(id string) bool {
+	return d.hop.runs.parent(id) != nil
+}
+
 // countRequest deposits a request's share into the retry budget of its service. A
 // nested call of a run that is itself a retry is charged as a retry.
 func (d *Dispatcher) countRequest(service string, parent *run) {
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -133,6 +133,7 @@
 		t.Fatal(err)
 	}
 	hop, err := NewLastHop(LastHopConfig{
+		Drain:     &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
 		Address:   "10.0.0.1:8000", Service: "other", View: replica.View, MarkLeaving: replica.MarkLeaving,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Crashes: crashes, Logger: telemetry.Silent(),
@@ -143,6 +144,7 @@
 	}
 	w := &dispatcherFixture{WithT: NewWithT(t), peers: &fakePeers{fence: func(string) (bool, error) { return true, nil }}}
 	w.dispatcher = &Dispatcher{
+		answerTimes: newAnswerTimes(), drain: &drainEnd{},
 		answerSizes: newAnswerSizes(),
 		headers:     platform.Headers{}, markLeaving: replica.MarkLeaving,
 		hop: hop, view: replica.View, peers: w.peers, balancer: balance.New("north", rand.Float64),
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -58,8 +58,9 @@
 	CallerRetries *callerRetries
 	Meter         Meter
 	Logger        *log.Logger
-	// Stopping reports whether the process is stopping.
-	Stopping *atomic.Bool
+	// Stopping reports whether the process is stopping, Refusing whether it is about to end
+	// and refuses new requests.
+	Stopping, Refusing *atomic.Bool
 	// InFlight counts the callers' requests in progress.
 	InFlight *atomic.Int64
 	// successes counts the successful answers; a sample of them is logged.
@@ -106,6 +107,10 @@
 	if headers.ID == "" {
 		x.request.ID = uuid.NewString()
 	}
+	if x.entry.Refusing.Load() && !x.entry.Dispatcher.isNestedCall(x.request.ID) {
+		// Proof: nothing was sent.
+		return verdict.Refuse(verdict.ReasonLeaving, stoppingRetryAfter)
+	}
 	if refusal := x.matchRoute(headers); refusal != nil {
 		return refusal
 	}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -60,6 +60,7 @@
 	answerSizes *answerSizes
 	coldLimit   ColdStartLimit
 	markLeaving func(*mesh.Server)
+	drain       *drainEnd
 	logger      *log.Logger
 	// runs are the requests that the server is running.
 	runs activeRuns
@@ -96,7 +97,9 @@
 	ColdLimit ColdStartLimit
 	// MarkLeaving records that a server stated that it leaves.
 	MarkLeaving func(*mesh.Server)
-	Logger      *log.Logger
+	// Drain holds the time until which this node delivers answers while it is stopping.
+	Drain  *drainEnd
+	Logger *log.Logger
 }
 
 // ColdStartLimit bounds the requests that a server receives in any second while it is
@@ -127,7 +130,7 @@
 	}
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
-		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, logger: cfg.Logger, handedOverByID: handedOverByID,
+		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
 	}
 	h.prober = &prober{hop: h}
@@ -224,6 +227,9 @@
 	if h.crashes.quarantined(r.Fingerprint, now) {
 		return verdict.Refuse(verdict.ReasonQuarantined, 0)
 	}
+	if !h.drain.permits(now, h.gate.ExpectedServiceTime(r.Route)) {
+		return verdict.Refuse(verdict.ReasonLeaving, shortRetryAfter)
+	}
 	view := h.view()
 	id := mesh.ServerID(r.Server)
 	if _, listed := view.Servers[id]; !listed && view.Revision < r.HostListRevision {
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -53,6 +53,7 @@
 		panic(err)
 	}
 	n.hop, err = NewLastHop(LastHopConfig{
+		Drain:     &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5}, Address: n.id + ":8000", Service: n.service, View: n.simulation.catalog.View,
 		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(0, 0),
 		MarkLeaving: n.simulation.catalog.MarkLeaving,
@@ -62,6 +63,7 @@
 	}
 	n.callerRetries = newCallerRetries()
 	n.dispatcher = &Dispatcher{
+		answerTimes: newAnswerTimes(), drain: &drainEnd{},
 		headers: platform.Headers{}, markLeaving: n.simulation.catalog.MarkLeaving, answerSizes: newAnswerSizes(), hop: n.hop, view: n.simulation.catalog.View, peers: n.simulation, balancer: balance.New("north", n.simulation.random.float),
 		retryBudget: loadBudget, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -133,6 +133,11 @@
 // nodeState is the state shared by several components.
 type nodeState struct {
 	stopping atomic.Bool
+	// refusing reports that new requests of callers are refused, because the node is about
+	// to end.
+	refusing atomic.Bool
+	// drain holds the end of the drain while the node is stopping.
+	drain drainEnd
 	// callerRequests counts the requests of this host's callers, peerRequests those of
 	// other nodes, until their answers are sent.
 	callerRequests, peerRequests atomic.Int64
@@ -244,19 +249,20 @@
 	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
 }
 
-func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *crashTracker, logger *log.Logger) (*LastHop, error) {
+func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *crashTracker, state *nodeState, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
-		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Logger: logger,
+		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, Logger: logger,
 		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 }
 
-func newDispatcher(s settings.Settings, platform Platform, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, logger *log.Logger) *Dispatcher {
+func newDispatcher(s settings.Settings, platform Platform, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, state *nodeState, logger *log.Logger) *Dispatcher {
 	return &Dispatcher{
 		hop: hop, view: c.View, balancer: balance.New(s.DataCentre, rand.Float64), linkPort: n.linkPort, answerSizes: newAnswerSizes(), logger: logger, meter: m,
 		headers: platform.Headers, markLeaving: c.MarkLeaving,
 		peers:       linkPeers{Client: exchange.NewClient(d.requests), links: d.requests, control: n.control},
 		retryBudget: RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
+		answerTimes: newAnswerTimes(), drain: &state.drain,
 	}
 }
 
@@ -281,7 +287,7 @@
 		CopyAge: copyAge{proven: store.ProvenAge, propagationLimit: s.ConfigPropagationLimit, revocationLimit: s.KeyRevocationLimit},
 		Headers: p.Headers, Quotas: quotas, Dispatcher: d, Splitter: newTrafficSplitter(), CallerRetries: newCallerRetries(), Meter: m,
 		Bodies: intake.NewBodyBuffer(intake.BodyConfig{Budget: int64(s.MemoryMB) << 20 / callerBodyMemoryDivisor}),
-		Logger: logger, Stopping: &f.stopping, InFlight: &f.callerRequests,
+		Logger: logger, Stopping: &f.stopping, Refusing: &f.refusing, InFlight: &f.callerRequests,
 	}
 }
 
--- a/internal/sidecar/stopper.go
+++ b/internal/sidecar/stopper.go
@@ -26,18 +26,22 @@
 }
 
 // drain reports the node as not ready, and keeps serving until callers have switched to
-// other nodes, because nothing else forwards requests to its server. Then it accepts no
-// new requests, from callers or for its server, and waits until none is in progress, or
-// until the drain limit expires.
+// other nodes, because nothing else forwards requests to its server. Then it refuses new
+// requests, from callers or for its server, and waits until none is in progress, or until
+// the drain limit expires. Callers' connections stay open meanwhile: a refusal says that a
+// request did not run, a closed connection says nothing. All the time it starts no attempt
+// that is expected to last beyond the drain limit.
 func (s *stopper) drain(ctx context.Context) {
 	started := time.Now()
+	limit := started.Add(time.Duration(drainGraceShare * float64(s.drainLimit)))
 	s.logger.Info().Str("part", "node").Int64("busy", s.state.callerRequests.Load()).Msg("stopping")
+	s.state.drain.set(limit)
 	s.state.stopping.Store(true)
 	s.wait(ctx, started.Add(readinessPropagationDelay), func() bool { return false })
 	s.hop.SetStopping()
-	s.closeCallerListener(ctx)
-	limit := started.Add(time.Duration(drainGraceShare * float64(s.drainLimit)))
+	s.state.refusing.Store(true)
 	s.wait(ctx, limit, s.idle)
+	s.closeCallerListener(ctx)
 	s.logger.Info().Str("part", "node").Int64("busy", s.state.callerRequests.Load()).Dur("took", time.Since(started)).Msg("drained")
 }
 
@@ -48,9 +52,7 @@
 	return s.state.callerRequests.Load() == 0 && s.state.peerRequests.Load() == 0 && s.hop.Load().Running == 0 && s.answersDelivered()
 }
 
-// closeCallerListener closes the callers' listener and their idle connections. Some
-// callers keep sending to a node that reports not ready; their requests would be cut
-// off at the end of the stop.
+// closeCallerListener closes the callers' listener and their idle connections.
 func (s *stopper) closeCallerListener(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callerCloseTimeout)
 	defer cancel()
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -37,6 +37,9 @@
 	// noServerRetryAfter is the time in which a service without a server may get one:
 	// entries of the store arrive within about a second.
 	noServerRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is the time in which callers switch from a node that is about to
+	// end to another one.
+	stoppingRetryAfter = 500 * time.Millisecond
 	// retryAfterJitter is the share by which retry delays are varied, so that refused
 	// callers do not retry at the same time.
 	retryAfterJitter = 0.5
@@ -79,6 +82,8 @@
 	err     *verdict.Error
 	// hedge reports whether the attempt was a hedged request.
 	hedge bool
+	// took is the time from the send until the answer or failure.
+	took time.Duration
 }
 
 // run starts attempts until one is answered or no further one is permitted.
@@ -129,6 +134,10 @@
 // if there is none.
 func (t *task) startAttempt(ctx context.Context) *verdict.Error {
 	now := time.Now()
+	if !t.dispatcher.drain.permits(now, t.expectedTime()) {
+		// Proof: this attempt was sent to no server.
+		return verdict.Refuse(verdict.ReasonLeaving, stoppingRetryAfter)
+	}
 	view := t.dispatcher.view()
 	candidates := view.Usable[t.request.Service]
 	listing, fullFor := t.dispatcher.balancer.Choose(candidates, balance.Request{
@@ -152,7 +161,11 @@
 	}
 	t.tried = append(t.tried, listing.ID)
 	outgoing := *t.request
+	if !t.body.Buffered() {
+		reader = &drainLimitedBody{Reader: reader, drain: t.dispatcher.drain, expectedTime: t.expectedTime()}
+	}
 	outgoing.Body = &attemptReader{Reader: reader}
+	outgoing.Deadline = t.dispatcher.drain.limit(t.request.Deadline)
 	outgoing.Server = string(listing.ID)
 	outgoing.HostListRevision = listing.Revision
 	outgoing.RateLimit = t.dispatcher.balancer.RateLimit(listing.ID)
@@ -191,7 +204,7 @@
 			// The gate may be of a build that does not read this, or restart and forget it.
 			d.markLeaving(listing.Server)
 		}
-		t.results <- result{listing: listing, answer: answer, hedge: r.Hedge}
+		t.results <- result{listing: listing, answer: answer, hedge: r.Hedge, took: now.Sub(sentAt)}
 		return
 	}
 	var load *contract.Load
@@ -302,6 +315,7 @@
 		return t.finish()
 	}
 	t.dispatcher.meter.Attempted("answered")
+	t.dispatcher.answerTimes.observe(t.route.Name, res.took)
 	t.answeredBy = res.listing.ID
 	return res.answer, true, nil
 }
@@ -404,6 +418,15 @@
 	return time.Until(t.request.Deadline)
 }
 
+// expectedTime returns the time in which an attempt is expected to be answered: the route's
+// objective until an answer was seen.
+func (t *task) expectedTime() time.Duration {
+	if estimate, ok := t.dispatcher.answerTimes.estimate(t.route.Name); ok {
+		return estimate
+	}
+	return t.route.Objective
+}
+
 // takeRetry reports whether a request that may have run may be sent to one more server,
 // and takes the retry from the budget.
 func (t *task) takeRetry() bool {
