Send all items to a peer at a revision whose deletions are not known

Cause: a catalog filled from a complete list, or from a peer's copy, answered what changed since an older revision without deletions of items it had never seen, and not as complete. The follower took over the revision and never heard of them.

Change: a catalog keeps the ranges of revisions that it skipped (at most 128) and sends all items to a peer at one of them, or before its first list. Lists and events that are older than the catalog bring back nothing that may have been deleted.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,6 +23,10 @@
 // Peers that would need a discarded tombstone receive all items.
 const maxTombstones = 256
 
+// maxGaps limits the gaps in the revisions of which the catalog knows all deletions. Peers
+// at a revision before a discarded gap receive all items.
+const maxGaps = 128
+
 // maxLeaving limits the servers that are remembered as leaving.
 const maxLeaving = 4096
 
@@ -45,9 +49,12 @@
 	// compactedRevision were discarded.
 	tombstones        int
 	compactedRevision uint64
-	config            *mesh.Config
-	routes            *mesh.RouteTable
-	servers           map[mesh.ServerID]*Listing
+	// gaps holds the revisions that lists and copies skipped, in order: items that were
+	// created and deleted in between left no tombstone.
+	gaps    []revisionRange
+	config  *mesh.Config
+	routes  *mesh.RouteTable
+	servers map[mesh.ServerID]*Listing
 	// leaving holds the servers that stated that they leave, with their start times. It is
 	// bounded and outlives their records: a record that expired may be back.
 	leaving *simplelru.LRU[mesh.ServerID, int64]
@@ -104,7 +111,7 @@
 	defer c.mu.Unlock()
 	changed := false
 	for _, d := range decoded {
-		changed = c.applyItem(d, now) || changed
+		changed = !c.isOutdated(d.Item, 0) && c.applyItem(d, now) || changed
 	}
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
@@ -121,8 +128,11 @@
 	defer c.mu.Unlock()
 	c.deleteMissing(keysOf(items), revision, now)
 	for _, d := range decoded {
-		c.applyItem(d, now)
+		if !c.isOutdated(d.Item, revision) {
+			c.applyItem(d, now)
+		}
 	}
+	c.skipTo(revision)
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
 	c.publish()
@@ -146,6 +156,7 @@
 	for _, d := range decoded {
 		c.applyItem(d, now)
 	}
+	c.skipTo(revision) // the peer may have skipped the revisions in between itself
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
 	c.publish()
@@ -192,12 +203,12 @@
 }
 
 // ChangesSince returns the items that changed after a revision, and the catalog's
-// revision. When tombstones since that revision were discarded, it returns all existing
-// items instead, and complete is true.
+// revision. When it does not hold all deletions since that revision, it returns all
+// existing items instead, and complete is true.
 func (c *Catalog) ChangesSince(revision uint64) (items []Item, complete bool, at uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	complete = revision < c.compactedRevision
+	complete = c.lacksDeletionsSince(revision)
 	for _, item := range c.items {
 		if complete && !item.Deleted || !complete && item.Revision > revision {
 			items = append(items, item)
@@ -206,6 +217,51 @@
 	return items, complete, c.revision
 }
 
+// revisionRange is a range of revisions without its ends.
+type revisionRange struct {
+	after, before uint64
+}
+
+func (r revisionRange) contains(revision uint64) bool {
+	return r.after < revision && revision < r.before
+}
+
+// lacksDeletionsSince reports whether a replica at a revision may hold items that were
+// deleted since and of which the catalog has no tombstone.
+func (c *Catalog) lacksDeletionsSince(revision uint64) bool {
+	return revision < c.compactedRevision ||
+		slices.ContainsFunc(c.gaps, func(gap revisionRange) bool { return gap.contains(revision) })
+}
+
+// skipTo records that a list or a copy takes the catalog from its revision to a later one.
+func (c *Catalog) skipTo(revision uint64) {
+	switch {
+	case revision <= c.revision:
+		return
+	case c.revision < c.compactedRevision:
+		c.compactedRevision = max(c.compactedRevision, revision)
+		return
+	case c.revision+1 == revision:
+		return // nothing was skipped
+	}
+	if len(c.gaps) == maxGaps {
+		c.compactedRevision = max(c.compactedRevision, c.gaps[0].before)
+		c.gaps = slices.Delete(c.gaps, 0, 1)
+	}
+	c.gaps = append(c.gaps, revisionRange{after: c.revision, before: revision})
+}
+
+// isOutdated reports whether an item that the catalog does not have may have been deleted
+// since, as the list or event that holds it is older than the catalog. listed is the
+// revision of the list, 0 for an event.
+func (c *Catalog) isOutdated(item Item, listed uint64) bool {
+	if known, ok := c.items[item.Key]; item.Deleted || ok && !known.Deleted {
+		return false
+	}
+	at := max(listed, item.Revision)
+	return at < c.revision && c.lacksDeletionsSince(at)
+}
+
 // Revision returns the store revision that the catalog has reached.
 func (c *Catalog) Revision() uint64 {
 	c.mu.Lock()
