Ask a server whether it is cold while the copy of the store is old

Cause: a gate hears of the cold from the store, or from a health check after an event that it noticed; a cut-off one hears nothing and a server may turn cold in operation.

Change: while the copy is older than the limit on propagation, the gate asks its own server after every quarter of a cold server's requests in a second; not while it is idle or known to be cold.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -161,6 +161,13 @@
 	g.wakeTimer.Reset(wait)
 }
 
+// Cold reports whether the server is known to be cold.
+func (g *Gate) Cold() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.cold(time.Now())
+}
+
 // ExpectedServiceTime returns the mean service time of a class of requests; 0 if it is
 // not known.
 func (g *Gate) ExpectedServiceTime(class string) time.Duration {
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -61,7 +61,10 @@
 	coldLimit   ColdStartLimit
 	markLeaving func(*mesh.Server)
 	drain       *drainEnd
+	staleCopy   func(now time.Time) bool
 	logger      *log.Logger
+	// coldChecks decides when the server is asked whether it is cold.
+	coldChecks coldChecks
 	// runs are the requests that the server is running.
 	runs activeRuns
 	// handedOver counts the requests that were sent to the server.
@@ -98,8 +101,10 @@
 	// MarkLeaving records that a server stated that it leaves.
 	MarkLeaving func(*mesh.Server)
 	// Drain holds the time until which this node delivers answers while it is stopping.
-	Drain  *drainEnd
-	Logger *log.Logger
+	Drain *drainEnd
+	// StaleCopy reports whether the view may lack recent changes of the store.
+	StaleCopy func(now time.Time) bool
+	Logger    *log.Logger
 }
 
 // ColdStartLimit bounds the requests that a server receives in any second while it is
@@ -130,7 +135,7 @@
 	}
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
-		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, logger: cfg.Logger, handedOverByID: handedOverByID,
+		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
 	}
 	h.prober = &prober{hop: h}
@@ -296,6 +301,7 @@
 	}
 	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0})
 	h.handedOver.Add(1)
+	h.checkColdIfStale(time.Now())
 	sentAt, listing := time.Now(), h.view().Servers[mesh.ServerID(r.Server)]
 	answer, err := h.client.Do(ctx, serverconn.Request{Request: r, ServerRequest: protocol.ServerRequest{
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
@@ -421,6 +427,7 @@
 		return
 	}
 	service := v.Config.Services[h.service]
+	h.coldChecks.setRate(h.coldLimit.requestsPerSecond(service.ColdRate))
 	listing := v.ServerAt(h.address)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -249,10 +249,11 @@
 	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
 }
 
-func newLastHop(s settings.Settings, c *catalog.Catalog, client *serverconn.Client, p *crashTracker, state *nodeState, logger *log.Logger) (*LastHop, error) {
+func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, state *nodeState, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
 		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, Logger: logger,
-		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
+		StaleCopy: func(now time.Time) bool { return store.Age(now) > s.ConfigPropagationLimit },
+		Bodies:    newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 }
 
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -139,6 +139,25 @@
 	p.hop.observeHealthNotice(reply)
 }
 
+// checkCold asks the server whether it is cold, without holding requests.
+func (p *prober) checkCold() {
+	view := p.hop.view()
+	if view.Config == nil {
+		return
+	}
+	reply, err := p.check(view.Config.Services[p.hop.service].HealthPath)
+	if err != nil {
+		p.logResult("server did not state whether it is cold", 0, err)
+		return
+	}
+	p.hop.recordResponder(reply.Server)
+	p.hop.observeHealthNotice(reply)
+	if reply.ColdFor > 0 {
+		p.logResult("server states that it is cold", reply.ColdFor, nil)
+		p.hop.gate.ExtendCold(time.Now().Add(reply.ColdFor))
+	}
+}
+
 func (p *prober) logResult(message string, coldFor time.Duration, err error) {
 	p.hop.logger.Info().Str("part", "gate").Dur("cold_for", coldFor).AnErr("cause", err).Msg(message)
 }
