Tell nodes that start, or missed a notice, what is quarantined

Cause: the count of crashes lived in the memory of a gate and was told once.

Change: a starting node asks up to eight nodes of its service before its first request may start (0.3 s at most); a node with quarantined requests exchanges them with one peer every two seconds; an entry refuses by itself for ten seconds what a gate refused as quarantined. Notices and their answers carry the quarantined requests with the time that remains; older nodes ignore that.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -71,9 +71,12 @@
 	return answer, err
 }
 
-// NotifyCrash notifies a gate of the requests that were running when a server crashed.
-func (c *Client) NotifyCrash(ctx context.Context, address string, m *wire.CrashNotice) error {
-	return c.exchange(ctx, address, &wire.Opening{Kind: &wire.Opening_CrashNotice{CrashNotice: m}}, &wire.CrashNotice{})
+// NotifyCrash notifies a gate of the requests that were running when a server crashed, and
+// returns the notice that the gate answers with.
+func (c *Client) NotifyCrash(ctx context.Context, address string, m *wire.CrashNotice) (*wire.CrashNotice, error) {
+	answer := &wire.CrashNotice{}
+	err := c.exchange(ctx, address, &wire.Opening{Kind: &wire.Opening_CrashNotice{CrashNotice: m}}, answer)
+	return answer, err
 }
 
 // Credits asks a node for credits of a workspace's quota.
--- a/internal/sidecar/crashnotice.go
+++ b/internal/sidecar/crashnotice.go
@@ -11,6 +11,9 @@
 // slightly before the notice of the crash that it caused.
 const crashTransitAllowance = 10 * time.Millisecond
 
+// maxNoticeQuarantined bounds the quarantined requests in one notice.
+const maxNoticeQuarantined = 256
+
 // encodeCrashNotice returns a notice with the ages of its times at now.
 func encodeCrashNotice(n crashNotice, now time.Time) *wire.CrashNotice {
 	message := &wire.CrashNotice{Answered: n.answered}
@@ -19,6 +22,13 @@
 		message.StartedMicros = append(message.StartedMicros, microsSince(run.startedAt, now))
 		message.CrashedMicros = append(message.CrashedMicros, microsSince(run.crashedAt, now))
 	}
+	for _, request := range n.quarantined[:min(len(n.quarantined), maxNoticeQuarantined)] {
+		if remaining := request.until.Sub(now); remaining > 0 {
+			message.Quarantined = append(message.Quarantined, &wire.QuarantinedRequest{
+				Fingerprint: request.fingerprint, RemainingMillis: uint32(remaining.Milliseconds()),
+			})
+		}
+	}
 	return message
 }
 
@@ -39,6 +49,10 @@
 		}
 		n.crashed = append(n.crashed, run)
 	}
+	for _, request := range message.GetQuarantined() {
+		remaining := min(time.Duration(request.GetRemainingMillis())*time.Millisecond, quarantineDuration)
+		n.quarantined = append(n.quarantined, quarantinedRequest{fingerprint: request.GetFingerprint(), until: now.Add(remaining)})
+	}
 	return n
 }
 
--- a/internal/sidecar/crashtracker.go
+++ b/internal/sidecar/crashtracker.go
@@ -42,6 +42,14 @@
 	crashed []crashedRun
 	// answered holds the fingerprints of suspects that a server answered.
 	answered []uint64
+	// quarantined holds the requests that the gate refuses.
+	quarantined []quarantinedRequest
+}
+
+// quarantinedRequest is a request that is refused until a time.
+type quarantinedRequest struct {
+	fingerprint uint64
+	until       time.Time
 }
 
 // crashRecord counts the crashes of a request.
@@ -91,17 +99,17 @@
 	return r.crashes >= quarantineThreshold && now.Before(r.expiresAt)
 }
 
-// quarantinedRequests returns the number of requests that must no longer be run.
-func (t *crashTracker) quarantinedRequests(now time.Time) int {
+// quarantinedRequests returns the requests that must no longer be run.
+func (t *crashTracker) quarantinedRequests(now time.Time) []quarantinedRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, record := range t.records.Values() {
-		if record.quarantined(now) {
-			n++
+	var out []quarantinedRequest
+	for _, fingerprint := range t.records.Keys() {
+		if record, ok := t.records.Peek(fingerprint); ok && record.quarantined(now) {
+			out = append(out, quarantinedRequest{fingerprint: fingerprint, until: record.expiresAt})
 		}
 	}
-	return n
+	return out
 }
 
 // recordAnswered records that this node's server ran a request to its end.
@@ -198,12 +206,29 @@
 	for _, run := range n.crashed {
 		t.count(run)
 	}
+	for _, request := range n.quarantined {
+		t.adopt(request)
+	}
 	t.mu.Unlock()
 	for _, fingerprint := range n.answered {
 		t.clear(fingerprint)
 	}
 }
 
+// adopt quarantines a request that another gate refuses. t.mu must be held.
+func (t *crashTracker) adopt(request quarantinedRequest) {
+	record, _ := t.records.Get(request.fingerprint)
+	if record.crashes < quarantineThreshold {
+		t.logger.Warn().Str("part", "gate").Uint64("fingerprint", request.fingerprint).Time("until", request.until).
+			Msg("request quarantined by another gate")
+	}
+	record.crashes = max(record.crashes, quarantineThreshold)
+	if request.until.After(record.expiresAt) {
+		record.expiresAt = request.until
+	}
+	t.records.Add(request.fingerprint, record)
+}
+
 // count counts a crash against a request unless the run began before an earlier crash that
 // is counted. t.mu must be held.
 func (t *crashTracker) count(run crashedRun) {
--- a/internal/sidecar/crashtracker_test.go
+++ b/internal/sidecar/crashtracker_test.go
@@ -85,7 +85,7 @@
 	w.Expect(w.quarantined(crashingRequest)).To(Equal([]bool{true, true}))
 	w.Expect(w.quarantined(popularPage)).To(Equal([]bool{false, false}))
 	w.Expect(w.notices).To(Equal(3))
-	w.Expect(w.gates[0].quarantinedRequests(w.now)).To(Equal(1))
+	w.Expect(w.gates[0].quarantinedRequests(w.now)).To(HaveLen(1))
 	w.pass(quarantineDuration)
 	w.Expect(w.quarantined(crashingRequest)).To(Equal([]bool{false, false}))
 }
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -65,12 +66,18 @@
 	logger      *log.Logger
 	meter       Meter
 
+	// quarantined holds the requests that a gate refused as quarantined.
+	quarantined  quarantineMemory
 	retryBudgets sync.Map // map[string]*retry.Budget, by service name
 }
 
 // Do sends a request until it is answered or no further attempt is permitted. Its
 // errors are *verdict.Error.
 func (d *Dispatcher) Do(ctx context.Context, r *contract.Request, route *mesh.Route, body Body) (*contract.Answer, *verdict.Error) {
+	if d.quarantined.contains(r.Fingerprint, time.Now()) {
+		// Proof: nothing was sent.
+		return nil, verdict.Refuse(verdict.ReasonQuarantined, shortRetryAfter)
+	}
 	parent := d.hop.runs.parent(r.ID)
 	r.HasPriorWork = parent != nil && parent.callAnswered.Load()
 	d.countRequest(r.Service, parent)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -109,7 +109,7 @@
 			newCatalog, newMetrics, newIdentity, newDialers, newPeerDirectory, newNotifyingCrashTracker, newServerClient, newLastHop,
 			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newLinkServer, newStopper, newNodeState,
 		),
-		fx.Invoke(followCatalog, startLinks, startCallers, startReady, startAdmin, startFeed),
+		fx.Invoke(followCatalog, startLinks, startCrashSync, startCallers, startReady, startAdmin, startFeed),
 		fx.Populate(&n.stopper, &n.peers),
 		fx.StopTimeout(time.Minute),
 	)
@@ -241,17 +241,20 @@
 	}, nil
 }
 
-func newNotifyingCrashTracker(n *peerDirectory, logger *log.Logger) (*crashTracker, error) {
-	return newCrashTracker(n.notifyCrash, logger)
+func newNotifyingCrashTracker(n *peerDirectory, logger *log.Logger) (*crashTracker, *crashSync, error) {
+	sync := &crashSync{peers: n.serviceNodes, exchange: n.control.NotifyCrash, logger: logger}
+	tracker, err := newCrashTracker(sync.notify, logger)
+	sync.tracker = tracker
+	return tracker, sync, err
 }
 
 func newServerClient(s settings.Settings, p Platform) *serverconn.Client {
 	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
 }
 
-func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, state *nodeState, logger *log.Logger) (*LastHop, error) {
+func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, sync *crashSync, state *nodeState, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
-		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, Logger: logger,
+		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, BeforeFirstProbe: sync.fetch, Logger: logger,
 		StaleCopy: func(now time.Time) bool { return store.Age(now) > s.ConfigPropagationLimit },
 		Bodies:    newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
@@ -315,6 +318,11 @@
 	c.OnChange(quotas.update)
 }
 
+func startCrashSync(lc fx.Lifecycle, s *crashSync) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StartStopHook(func() { go s.run(ctx) }, cancel))
+}
+
 // callersServer serves callers. It is shut down during the drain, before the other
 // listeners.
 type callersServer struct{ *http.Server }
@@ -362,7 +370,7 @@
 		return -1
 	})
 	m.Gauge("quarantined_requests", "Requests that are refused because servers crashed while they ran them.", func() float64 {
-		return float64(hop.crashes.quarantinedRequests(time.Now()))
+		return float64(len(hop.crashes.quarantinedRequests(time.Now())))
 	})
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -24,9 +24,6 @@
 // errNoPeer reports that no other node is known.
 var errNoPeer = eris.New("no other node is known")
 
-// crashNoticeTimeout bounds the sending of a crash notice to one peer.
-const crashNoticeTimeout = time.Second
-
 // peerDirectory finds the other nodes: each runs beside a server that the catalog
 // lists, and all accept links on the same port.
 type peerDirectory struct {
@@ -54,6 +51,12 @@
 	return out
 }
 
+// serviceNodes returns the link addresses of the other nodes beside servers of this node's
+// service.
+func (n *peerDirectory) serviceNodes() []string {
+	return n.addresses(func(l *catalog.Listing) bool { return l.Service == n.service })
+}
+
 // update applies a new view of the mesh.
 func (n *peerDirectory) update(v *catalog.View) {
 	var members []copytree.Member
@@ -103,19 +106,6 @@
 	return n.Follow(ctx, address, revision, 0)
 }
 
-// notifyCrash sends a notice to the other gates of the service.
-func (n *peerDirectory) notifyCrash(notice crashNotice) {
-	for _, address := range n.addresses(func(l *catalog.Listing) bool { return l.Service == n.service }) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), crashNoticeTimeout)
-			defer cancel()
-			if err := n.control.NotifyCrash(ctx, address, encodeCrashNotice(notice, time.Now())); err != nil {
-				n.logger.Debug().Str("part", "gate").Str("peer", address).Err(err).Msg("failed to send a crash notice to a peer")
-			}
-		}()
-	}
-}
-
 // streamServer serves the streams that other nodes open on this node's links.
 type streamServer struct {
 	requests *exchange.Server
@@ -147,8 +137,9 @@
 	case opening.GetCreditRequest() != nil:
 		s.reply(stream, s.quotas.answer(opening.GetCreditRequest()))
 	case opening.GetCrashNotice() != nil:
-		s.crashes.applyNotice(decodeCrashNotice(opening.GetCrashNotice(), time.Now()))
-		s.reply(stream, &wire.CrashNotice{})
+		now := time.Now()
+		s.crashes.applyNotice(decodeCrashNotice(opening.GetCrashNotice(), now))
+		s.reply(stream, encodeCrashNotice(crashNotice{quarantined: s.crashes.quarantinedRequests(now)}, now))
 	}
 }
 
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	started bool
 	running bool
+	// prepared reports that the hop's preparation has run. Only run uses it.
+	prepared bool
 }
 
 // startOnce runs the first health check of this process.
@@ -66,6 +68,10 @@
 }
 
 func (p *prober) run() {
+	if !p.prepared {
+		p.prepared = true
+		p.hop.beforeFirstProbe()
+	}
 	backoff := probeBackoffMin
 	for !p.probe() {
 		time.Sleep(backoff)
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -333,6 +333,7 @@
 func (t *task) reroute(ctx context.Context) (*contract.Answer, bool, *verdict.Error) {
 	t.reroutes++
 	if t.lastRefusal.Reason == verdict.ReasonQuarantined {
+		t.dispatcher.quarantined.add(t.request.Fingerprint, time.Now())
 		return t.finish()
 	}
 	// A request that a server refused counts as a retry when it reaches another server.
