--- a/internal/sidecar/coldchecks_test.go
+++ b/internal/sidecar/coldchecks_test.go
@@ -63,6 +63,9 @@
 		}()
 		time.Sleep(time.Second / perSecond)
 	}
+	time.Sleep(time.Second) // all requests have ended
+	server.mu.Lock()
+	defer server.mu.Unlock()
 	return server
 }
 
