Judge the share of a called service's capacity over 40 s

The simulation runs in virtual time, but the order of its goroutines differs.

A shortfall that lasts shows as before; one that ends within some seconds shows less.

--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -146,7 +146,7 @@
 func TestCallingServiceWithOneOfThreeCalledServersLeft(t *testing.T) {
 	g := NewWithT(t)
 	services, routes := callingScenario([]float64{0.6, 1, 1.4, 0.6, 1, 1.4, 0.6, 1}, []float64{0.7})
-	w := simulateLoad(t, loadScenario{services: services, routes: routes, phases: []loadPhase{{10 * time.Second, 1}}})
+	w := simulateLoad(t, loadScenario{services: services, routes: routes, phases: []loadPhase{{40 * time.Second, 1}}})
 	visits := w.tallies["visit"]
 	visit, bundle := routes["visit"], routes["bundle"]
 	spareCapacity := serviceCapacity(services, routes["status"]) * (1 - bundle.perSecond/serviceCapacity(services, bundle))
