--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -242,19 +242,19 @@
 }
 
 func newNotifyingCrashTracker(n *peerDirectory, logger *log.Logger) (*crashTracker, *crashSync, error) {
-	sync := &crashSync{peers: n.serviceNodes, exchange: n.control.NotifyCrash, logger: logger}
-	tracker, err := newCrashTracker(sync.notify, logger)
-	sync.tracker = tracker
-	return tracker, sync, err
+	notices := &crashSync{peers: n.serviceNodes, exchange: n.control.NotifyCrash, logger: logger}
+	tracker, err := newCrashTracker(notices.notify, logger)
+	notices.tracker = tracker
+	return tracker, notices, err
 }
 
 func newServerClient(s settings.Settings, p Platform) *serverconn.Client {
 	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
 }
 
-func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, sync *crashSync, state *nodeState, logger *log.Logger) (*LastHop, error) {
+func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, notices *crashSync, state *nodeState, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
-		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, BeforeFirstProbe: sync.fetch, Logger: logger,
+		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, BeforeFirstProbe: notices.fetch, Logger: logger,
 		StaleCopy: func(now time.Time) bool { return store.Age(now) > s.ConfigPropagationLimit },
 		Bodies:    newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
