End what a body's goroutine does before its request ends

Cause: a body is read by a goroutine of its own. At a gate it asked for the held body on a stream on which the gate was answering; at an entry it set a read deadline through a response writer that another request was using.

Change: a gate answers after a request for the body has been sent, and none is sent after that. A closed body sets no deadline.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -196,6 +197,23 @@
 		}))
 	})
 
+	// Guards against two writers of one stream: a goroutine that asks for a held body while
+	// the request ends. The race detector reports them.
+	It("does not ask for a held body while the answer is sent", func() {
+		const size = 64 << 10
+		var reads sync.WaitGroup
+		client, address := newClientAndServer(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+			body := r.Body
+			reads.Go(func() { _, _ = io.Copy(io.Discard, body) }) // it ends with the request
+			return nil, verdict.Refuse(verdict.ReasonOverloaded, time.Second)
+		}, nil)
+		for range 200 {
+			_, err := client.Do(context.Background(), address, newRequest(bytes.NewReader(make([]byte, size)), size))
+			Expect(verdict.FromError(err).Verdict).To(Equal(verdict.NotRun))
+		}
+		reads.Wait()
+	})
+
 	DescribeTable("returns ErrTruncated when",
 		func(length int64, bodyEnd func() error) {
 			client, address := newClientAndServer(func(context.Context, *contract.Request) (*contract.Answer, error) {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -72,6 +72,7 @@
 	watcher := watchPeer(stream, body, cancel)
 	defer watcher.stop()
 	answer, err := s.runner.Run(ctx, r)
+	body.beginAnswer()
 	if err != nil {
 		s.sendRefusal(stream, r, receivedAt, err)
 		return
@@ -139,9 +140,13 @@
 	// received is closed once the last chunk has been read.
 	received chan struct{}
 	// sendContinue requests the body from the sender. It is nil when the body comes
-	// without a request. It must not run while the answer is sent, since messages of
-	// both would be interleaved on the stream.
+	// without a request.
 	sendContinue func() error
+	// writing is held while sendContinue runs, which must end before the answer is sent,
+	// since messages of both would be interleaved on the stream. answering reports that
+	// the answer is being sent.
+	writing   sync.Mutex
+	answering bool
 	// arrivalStarted is closed once a requested body begins to arrive or the stream has
 	// ended. It is nil when the body comes without a request.
 	arrivalStarted chan struct{}
@@ -166,9 +171,7 @@
 		return 0, http.ErrBodyReadAfterClose
 	}
 	if b.sendContinue != nil {
-		sendContinue := b.sendContinue
-		b.sendContinue = nil
-		if err := sendContinue(); err != nil {
+		if err := b.requestArrival(); err != nil {
 			return 0, err
 		}
 		<-b.arrivalStarted
@@ -176,6 +179,27 @@
 	return b.reader.Read(p)
 }
 
+// requestArrival requests the body from the sender unless the answer is being sent. b.mu
+// must be held.
+func (b *requestBody) requestArrival() error {
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	if b.answering {
+		return http.ErrBodyReadAfterClose
+	}
+	sendContinue := b.sendContinue
+	b.sendContinue = nil
+	return sendContinue()
+}
+
+// beginAnswer waits until a request for the body has been sent, and permits none from now
+// on.
+func (b *requestBody) beginAnswer() {
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	b.answering = true
+}
+
 func (b *requestBody) close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -41,9 +41,10 @@
 	return io.MultiReader(&blockReader{blocks: b.blocks}, b.reader)
 }
 
-// Close releases the bytes of the body. Its readers must not be used afterwards.
+// Close releases the bytes of the body. Readers that are still in use fail from now on.
 func (b *Body) Close() {
 	b.closeOnce.Do(func() {
+		b.reader.close()
 		b.buffer.budget.release(b.reserved)
 		b.blocks = nil
 	})
--- a/internal/intake/source.go
+++ b/internal/intake/source.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +30,10 @@
 	remaining     int64 // bytes left until MaxBody is exceeded
 	verdict       verdict.Verdict
 	retryAfter    time.Duration
+
+	mu sync.Mutex
+	// closed reports that the request has ended: the connection may carry another one.
+	closed bool
 }
 
 // Read implements io.Reader.
@@ -36,8 +42,8 @@
 	if deadline.After(r.totalDeadline) {
 		deadline = r.totalDeadline
 	}
-	if err := r.source.SetReadDeadline(deadline); err != nil {
-		return 0, r.newError(verdict.ReasonCanceled, eris.Wrap(err, "set read deadline"))
+	if err := r.setDeadline(deadline); err != nil {
+		return 0, r.newError(verdict.ReasonCanceled, err)
 	}
 	n, err := r.source.Read(p)
 	r.remaining -= int64(n)
@@ -58,12 +64,29 @@
 // clearDeadline removes the read deadline, because the server keeps reading from the
 // connection to detect that the caller has closed it.
 func (r *timedReader) clearDeadline() error {
-	if err := r.source.SetReadDeadline(time.Time{}); err != nil {
-		return r.newError(verdict.ReasonCanceled, eris.Wrap(err, "clear read deadline"))
+	if err := r.setDeadline(time.Time{}); err != nil {
+		return r.newError(verdict.ReasonCanceled, err)
 	}
 	return io.EOF
 }
 
+// setDeadline sets the deadline of the source, unless the request has ended.
+func (r *timedReader) setDeadline(at time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return http.ErrBodyReadAfterClose
+	}
+	return eris.Wrap(r.source.SetReadDeadline(at), "set read deadline")
+}
+
+// close ends all use of the source's deadline.
+func (r *timedReader) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
 func (r *timedReader) newError(reason verdict.Reason, cause error) error {
 	failure := verdict.New(r.verdict, reason, cause)
 	failure.RetryAfter = r.retryAfter
