Ask for quarantined requests beside the first health check, not before it

Its log line shows state cold, running 1, no service time: its first health check got no answer within 300 ms, as the process was stopped during it.

Cause, as far as traced: since a node asked its peers for up to 0.3 s before its first health check, so the check moved into the time in which the test stops processes right after their start.

Change: both run at the same time; requests are held until the health check ends.

--- a/internal/sidecar/crashsync.go
+++ b/internal/sidecar/crashsync.go
@@ -14,9 +14,6 @@
 const (
 	// crashNoticeTimeout bounds the exchange of a crash notice with one peer.
 	crashNoticeTimeout = time.Second
-	// quarantineFetchTimeout bounds how long a node that starts waits for the quarantined
-	// requests of its peers. Requests for its server are held meanwhile.
-	quarantineFetchTimeout = 300 * time.Millisecond
 	// maxFetchPeers is the number of peers that a node asks when it starts.
 	maxFetchPeers = 8
 	// quarantineSyncInterval is how often a node with quarantined requests exchanges them
@@ -53,8 +50,8 @@
 	s.tracker.applyNotice(decodeCrashNotice(answer, time.Now()))
 }
 
-// fetch asks some peers for the requests that they have quarantined, and waits a while for
-// their answers.
+// fetch asks some peers for the requests that they have quarantined. It returns when all
+// have answered or are known not to.
 func (s *crashSync) fetch() {
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -62,15 +59,7 @@
 	for _, address := range peers[:min(len(peers), maxFetchPeers)] {
 		asked.Go(func() { s.send(context.Background(), address, crashNotice{}) })
 	}
-	answered := make(chan struct{})
-	go func() {
-		asked.Wait()
-		close(answered)
-	}()
-	select {
-	case <-answered:
-	case <-time.After(quarantineFetchTimeout):
-	}
+	asked.Wait()
 }
 
 // run exchanges quarantined requests with one peer at a time until the context ends.
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -133,7 +133,7 @@
 		t.Fatal(err)
 	}
 	hop, err := NewLastHop(LastHopConfig{
-		StaleCopy: func(time.Time) bool { return false }, BeforeFirstProbe: func() {}, Drain: &drainEnd{},
+		StaleCopy: func(time.Time) bool { return false }, OnFirstProbe: func() {}, Drain: &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
 		Address:   "10.0.0.1:8000", Service: "other", View: replica.View, MarkLeaving: replica.MarkLeaving,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{}), nil), Crashes: crashes, Logger: telemetry.Silent(),
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -56,15 +56,14 @@
 	bodies  *bodyReceiver
 	// answerPacer paces large answers on the outbound link; answerSizes predicts which
 	// answers are large.
-	answerPacer *answerPacer
-	answerSizes *answerSizes
-	coldLimit   ColdStartLimit
-	markLeaving func(*mesh.Server)
-	drain       *drainEnd
-	staleCopy   func(now time.Time) bool
-	// beforeFirstProbe runs before the first health check, while all requests are held.
-	beforeFirstProbe func()
-	logger           *log.Logger
+	answerPacer  *answerPacer
+	answerSizes  *answerSizes
+	coldLimit    ColdStartLimit
+	markLeaving  func(*mesh.Server)
+	drain        *drainEnd
+	staleCopy    func(now time.Time) bool
+	onFirstProbe func()
+	logger       *log.Logger
 	// coldChecks decides when the server is asked whether it is cold.
 	coldChecks coldChecks
 	// runs are the requests that the server is running.
@@ -106,9 +105,10 @@
 	Drain *drainEnd
 	// StaleCopy reports whether the view may lack recent changes of the store.
 	StaleCopy func(now time.Time) bool
-	// BeforeFirstProbe runs once before the first request may start.
-	BeforeFirstProbe func()
-	Logger           *log.Logger
+	// OnFirstProbe runs in a goroutine of its own at the first health check, when the view
+	// lists the nodes of the service.
+	OnFirstProbe func()
+	Logger       *log.Logger
 }
 
 // ColdStartLimit bounds the requests that a server receives in any second while it is
@@ -139,7 +139,7 @@
 	}
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
-		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, beforeFirstProbe: cfg.BeforeFirstProbe, logger: cfg.Logger, handedOverByID: handedOverByID,
+		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, onFirstProbe: cfg.OnFirstProbe, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
 	}
 	h.prober = &prober{hop: h}
--- a/internal/sidecar/lasthop_test.go
+++ b/internal/sidecar/lasthop_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	hop, err := NewLastHop(LastHopConfig{
-		StaleCopy: func(time.Time) bool { return false }, BeforeFirstProbe: func() {}, Drain: &drainEnd{},
+		StaleCopy: func(time.Time) bool { return false }, OnFirstProbe: func() {}, Drain: &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
 		Address:   "10.0.0.2:8000", Service: "orders", View: func() *catalog.View { return view }, Crashes: crashes,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: "127.0.0.1:1"}), platform.Headers{}),
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -53,7 +53,7 @@
 		panic(err)
 	}
 	n.hop, err = NewLastHop(LastHopConfig{
-		StaleCopy: func(time.Time) bool { return false }, BeforeFirstProbe: func() {}, Drain: &drainEnd{},
+		StaleCopy: func(time.Time) bool { return false }, OnFirstProbe: func() {}, Drain: &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5}, Address: n.id + ":8000", Service: n.service, View: n.simulation.catalog.View,
 		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(0, 0),
 		MarkLeaving: n.simulation.catalog.MarkLeaving,
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -34,8 +34,6 @@
 	mu      sync.Mutex
 	started bool
 	running bool
-	// prepared reports that the hop's preparation has run. Only run uses it.
-	prepared bool
 }
 
 // startOnce runs the first health check of this process.
@@ -45,6 +43,7 @@
 	p.started = true
 	p.mu.Unlock()
 	if first {
+		go p.hop.onFirstProbe()
 		p.holdAndProbe(false)
 	}
 }
@@ -68,10 +67,6 @@
 }
 
 func (p *prober) run() {
-	if !p.prepared {
-		p.prepared = true
-		p.hop.beforeFirstProbe()
-	}
 	backoff := probeBackoffMin
 	for !p.probe() {
 		time.Sleep(backoff)
