Tell peers when a copy's changes have no gaps

A follower that turned to another upstream then got all items where a few changes would do.

Change: an answer says that it holds all deletions since the revision asked for (gapless), which those of a node that reads the store do. Its followers have no gaps then, nor theirs. Older nodes do not say it, and their answers count as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -138,9 +138,9 @@
 	c.publish()
 }
 
-// Merge applies items of a peer's copy if the peer's revision is newer. complete reports
-// that items are all items that exist at that revision.
-func (c *Catalog) Merge(items []Item, complete bool, revision uint64, now time.Time) {
+// Merge applies the changes of a peer's copy if the peer's revision is newer.
+func (c *Catalog) Merge(changes Changes, now time.Time) {
+	items, revision := changes.Items, changes.Revision
 	if revision <= c.Revision() {
 		return
 	}
@@ -150,13 +150,15 @@
 	if revision <= c.revision {
 		return
 	}
-	if complete {
+	if changes.Complete {
 		c.deleteMissing(keysOf(items), revision, now)
 	}
 	for _, d := range decoded {
 		c.applyItem(d, now)
 	}
-	c.skipTo(revision) // the peer may have skipped the revisions in between itself
+	if !changes.Gapless {
+		c.skipTo(revision)
+	}
 	c.advanceRevision(revision)
 	c.expireSuspects(now)
 	c.publish()
@@ -205,16 +207,30 @@
 // ChangesSince returns the items that changed after a revision, and the catalog's
 // revision. When it does not hold all deletions since that revision, it returns all
 // existing items instead, and complete is true.
-func (c *Catalog) ChangesSince(revision uint64) (items []Item, complete bool, at uint64) {
+func (c *Catalog) ChangesSince(revision uint64) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	complete = c.lacksDeletionsSince(revision)
+	changes := Changes{Complete: c.lacksDeletionsSince(revision), Revision: c.revision}
+	changes.Gapless = !changes.Complete &&
+		!slices.ContainsFunc(c.gaps, func(gap revisionRange) bool { return gap.before > revision+1 })
 	for _, item := range c.items {
-		if complete && !item.Deleted || !complete && item.Revision > revision {
-			items = append(items, item)
+		if changes.Complete && !item.Deleted || !changes.Complete && item.Revision > revision {
+			changes.Items = append(changes.Items, item)
 		}
 	}
-	return items, complete, c.revision
+	return changes
+}
+
+// Changes is what changed in a store since a revision.
+type Changes struct {
+	// Items are the items that changed since; if Complete is set, all that exist.
+	Items    []Item
+	Complete bool
+	// Gapless reports that Items hold all deletions since the revision, also of items that
+	// were created after it.
+	Gapless bool
+	// Revision is the revision of the store after the changes.
+	Revision uint64
 }
 
 // revisionRange is a range of revisions without its ends.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -112,7 +112,7 @@
 	It("removes a draining server from the usable servers at once, even while the store is unavailable", func() {
 		c.Apply([]catalog.Item{serverItem("a", 1), serverItem("b", 2, withAddress("10.0.0.2:1"))}, 2, now)
 		c.MarkStoreUnavailable()
-		c.Merge([]catalog.Item{serverItem("a", 3, func(s *mesh.Server) { s.State = mesh.ServerDraining })}, false, 3, now)
+		c.Merge(catalog.Changes{Items: []catalog.Item{serverItem("a", 3, func(s *mesh.Server) { s.State = mesh.ServerDraining })}, Revision: 3}, now)
 		Expect(usableIDs(c)).To(Equal([]string{"b"}))
 		Expect(c.View().IsUsable("a")).To(BeFalse())
 	})
@@ -171,7 +171,7 @@
 
 	It("ignores a peer's copy with an older revision", func() {
 		c.Apply([]catalog.Item{serverItem("a", 8)}, 8, now)
-		c.Merge(nil, true, 5, now)
+		c.Merge(catalog.Changes{Complete: true, Revision: 5}, now)
 		Expect(usableIDs(c)).To(Equal([]string{"a"}))
 	})
 
@@ -200,7 +200,7 @@
 		revision += 2
 	}
 	source.Apply([]catalog.Item{deletion("sfirst", revision+1)}, revision+1, now)
-	items, _, _ := source.ChangesSince(0)
+	items := source.ChangesSince(0).Items
 	g.Expect(items).To(BeEmpty())
 	follower.Merge(atTestTime(source.ChangesSince(follower.Revision())))
 	g.Expect(summary(follower)).To(Equal(summary(source)))
@@ -257,8 +257,8 @@
 	})
 }
 
-func atTestTime(items []catalog.Item, complete bool, revision uint64) ([]catalog.Item, bool, uint64, time.Time) {
-	return items, complete, revision, time.Unix(1000, 0)
+func atTestTime(changes catalog.Changes) (catalog.Changes, time.Time) {
+	return changes, time.Unix(1000, 0)
 }
 
 func indexes(n int) []int {
--- a/internal/catalog/changes_test.go
+++ b/internal/catalog/changes_test.go
@@ -68,12 +68,12 @@
 
 // check fails unless a replica holds just what the store had at the replica's revision.
 func (s *storeHistory) check(t *rapid.T, r *replica) {
-	items, complete, revision := r.ChangesSince(0)
+	changes := r.ChangesSince(0)
 	got := map[string]uint64{}
-	for _, item := range items {
+	for _, item := range changes.Items {
 		got[item.Key] = item.Revision
 	}
-	if revision > 0 && (!complete || !maps.Equal(got, s.states[revision])) {
+	if revision := changes.Revision; revision > 0 && (!changes.Complete || !maps.Equal(got, s.states[revision])) {
 		t.Fatalf("at revision %d: %v, want %v", revision, got, s.states[revision])
 	}
 }
@@ -122,8 +122,7 @@
 			},
 			"copy": func(*rapid.T) {
 				i := rapid.IntRange(0, 1).Draw(t, "replica")
-				items, complete, revision := replicas[1-i].ChangesSince(replicas[i].Revision())
-				replicas[i].Merge(items, complete, revision, now)
+				replicas[i].Merge(replicas[1-i].ChangesSince(replicas[i].Revision()), now)
 			},
 			"": func(t *rapid.T) {
 				for _, r := range replicas {
@@ -135,6 +134,24 @@
 }
 
 var _ = Describe("a replica that starts from a list", func() {
+	// Guards against copies of everything where a few changes are enough: of a reader's
+	// followers, each is at revisions of its own.
+	It("has no gaps in what it learns from a replica without gaps", func() {
+		now := time.Unix(1000, 0)
+		store := newStoreHistory()
+		reader, follower := catalog.New(jsonDecoder{}, telemetry.Silent()), catalog.New(jsonDecoder{}, telemetry.Silent())
+		reader.Replace(store.list(1), 1, now)
+		follower.Merge(reader.ChangesSince(0), now)
+		for range 5 {
+			store.put("s1")
+		}
+		reader.Apply(store.events[1:], store.revision, now)
+		follower.Merge(reader.ChangesSince(follower.Revision()), now)
+		for revision := uint64(1); revision < store.revision; revision++ {
+			Expect(follower.ChangesSince(revision).Complete).To(BeFalse())
+		}
+	})
+
 	// Guards against a follower that keeps a server which is gone: its upstream was
 	// restarted after the deletion and holds no tombstone for it.
 	It("answers an older follower with all items", func() {
@@ -146,8 +163,7 @@
 		store.delete("s1")
 		upstream := catalog.New(jsonDecoder{}, telemetry.Silent())
 		upstream.Replace(store.list(3), 3, now)
-		items, complete, revision := upstream.ChangesSince(follower.Revision())
-		follower.Merge(items, complete, revision, now)
+		follower.Merge(upstream.ChangesSince(follower.Revision()), now)
 		Expect(follower.View().Servers).NotTo(HaveKey(BeEquivalentTo("1")))
 	})
 })
--- a/internal/catalog/leaving_test.go
+++ b/internal/catalog/leaving_test.go
@@ -47,7 +47,7 @@
 
 	It("stays unusable while it is suspect", func() {
 		c.MarkStoreUnavailable()
-		c.Merge([]catalog.Item{{Key: "sa", Revision: 2, Deleted: true}}, false, 2, now)
+		c.Merge(catalog.Changes{Items: []catalog.Item{{Key: "sa", Revision: 2, Deleted: true}}, Revision: 2}, now)
 		Expect(c.View().Servers["a"].Suspect).To(BeTrue())
 		Expect(c.View().IsUsable("a")).To(BeFalse())
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,12 +34,7 @@
 
 // PeerState is a peer's copy of the store, limited to changes after a revision.
 type PeerState struct {
-	// Items holds the items that changed after the requested revision, or, when
-	// Complete is set, all items that exist.
-	Items    []catalog.Item
-	Complete bool
-	// Revision is the revision of the peer's copy.
-	Revision uint64
+	catalog.Changes
 	// Age is the time since the peer's copy was known to be current. It is an estimate
 	// that serves to choose an upstream.
 	Age time.Duration
@@ -232,7 +227,7 @@
 // mergePeerState merges a peer's state of any age. What the peer proves counts from the
 // beginning of the request, since the time that the answer took to arrive is unknown.
 func (f *Feed) mergePeerState(state PeerState, began time.Duration, now time.Time) {
-	f.catalog.Merge(state.Items, state.Complete, state.Revision, now)
+	f.catalog.Merge(state.Changes, now)
 	if state.Complete {
 		f.complete.Store(true)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -144,7 +144,7 @@
 	if p.revision == 0 {
 		return feed.PeerState{}, errDown
 	}
-	return feed.PeerState{Items: []catalog.Item{{Key: "k", Revision: p.revision}}, Complete: true, Revision: p.revision, Age: p.age}, nil
+	return feed.PeerState{Changes: catalog.Changes{Items: []catalog.Item{{Key: "k", Revision: p.revision}}, Complete: true, Revision: p.revision}, Age: p.age}, nil
 }
 
 func (p *fakePeers) Query(context.Context, uint64) (feed.PeerState, error) {
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -177,8 +177,8 @@
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	peer.catalog.Await(waitCtx, revision)
-	items, complete, at := peer.catalog.ChangesSince(revision)
-	return feed.PeerState{Items: items, Complete: complete, Revision: at, Age: peer.feed.Age(time.Now())}, nil
+	changes := peer.catalog.ChangesSince(revision)
+	return feed.PeerState{Changes: changes, Age: peer.feed.Age(time.Now())}, nil
 }
 
 func (n *fleetNode) Query(ctx context.Context, revision uint64) (feed.PeerState, error) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -83,10 +83,10 @@
 		return feed.PeerState{}, err
 	}
 	state := feed.PeerState{
-		Items:    items,
-		Complete: answer.GetComplete(),
-		Revision: answer.GetRevision(),
-		Age:      time.Duration(answer.GetAgeMillis()) * time.Millisecond,
+		Changes: catalog.Changes{
+			Items: items, Complete: answer.GetComplete(), Gapless: answer.GetGapless(), Revision: answer.GetRevision(),
+		},
+		Age: time.Duration(answer.GetAgeMillis()) * time.Millisecond,
 	}
 	if answer.ProvenAgeMillis != nil {
 		state.Proof = &feed.PeerProof{
@@ -162,9 +162,9 @@
 		answer.Revision = known
 		return answer
 	}
-	items, complete, revision := s.catalog.ChangesSince(query.GetRevision())
-	answer.Revision, answer.Complete = revision, complete
-	if err := s.fillItems(answer, items); err != nil {
+	changes := s.catalog.ChangesSince(query.GetRevision())
+	answer.Revision, answer.Complete, answer.Gapless = changes.Revision, changes.Complete, changes.Gapless
+	if err := s.fillItems(answer, changes.Items); err != nil {
 		// Without the items the answer would be wrong, so the answer reports no change.
 		s.logger.Error().Str("part", "feed").Err(err).Msg("failed to encode the state for a peer")
 		return &wire.StateAnswer{AgeMillis: answer.GetAgeMillis()}
