--- a/internal/serverconn/endless_test.go
+++ b/internal/serverconn/endless_test.go
@@ -63,7 +63,7 @@
 			c := newClient(s)
 			used := bytesAllocated(func() {
 				var work sync.WaitGroup
-				for i := range concurrentRequests {
+				for i := range 2 * concurrentRequests { // as many health checks as requests
 					work.Go(func() {
 						defer GinkgoRecover()
 						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -81,7 +81,7 @@
 				}
 				work.Wait()
 			})
-			Expect(used).To(BeNumerically("<", concurrentRequests*maxBytesPerRequest))
+			Expect(used).To(BeNumerically("<", 2*concurrentRequests*maxBytesPerRequest))
 		},
 		Entry("one header line", "HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "abcdefgh"),
 		Entry("header lines", "HTTP/1.1 200 OK\r\nId: 1\r\n", "X-More: abcdefgh\r\n"),
--- a/internal/sidecar/linkpeers_test.go
+++ b/internal/sidecar/linkpeers_test.go
@@ -35,6 +35,9 @@
 	handedOver, err = linkPeers{links: second, control: second}.Fence(t.Context(), "10.0.0.2:9000", "9c41", 2000)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(handedOver).To(BeFalse())
+	g.Expect(second.drops).To(BeZero(), "asking closes no link")
+	linkPeers{links: second, control: second}.DropLink("10.0.0.2:9000")
+	g.Expect(second.drops).To(Equal(1))
 }
 
 func TestFenceFailsWhenTheBootTimeIsUnknown(t *testing.T) {
