Check drills of the store by a property test

Change: writes, drills, late responses, 410s, copies and restarts in any order; each catalog holds what the store had at its version, and no older copy, configuration or ended server comes back.

--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -202,6 +202,23 @@
 	// states holds, by revision, the items of the present era's history.
 	states map[uint64]map[string]catalog.Item
 	events []catalog.Item
+	// had holds the version of each item that existed at a version of the store.
+	had map[catalog.Version]map[string]catalog.Version
+}
+
+func newDrillStore() *drillStore {
+	return &drillStore{
+		items: map[string]catalog.Item{}, states: map[uint64]map[string]catalog.Item{}, had: map[catalog.Version]map[string]catalog.Version{},
+	}
+}
+
+// record keeps what the store has now.
+func (s *drillStore) record() {
+	versions := map[string]catalog.Version{}
+	for key, item := range s.items {
+		versions[key] = item.Version
+	}
+	s.had[s.version] = versions
 }
 
 func (s *drillStore) write(item catalog.Item) {
@@ -215,6 +232,7 @@
 	}
 	s.states[s.version.Revision] = s.items
 	s.events = append(s.events, item)
+	s.record()
 }
 
 func (s *drillStore) restore(revision uint64) {
@@ -237,6 +255,7 @@
 		}
 	}
 	s.events = events
+	s.record()
 }
 
 // response is a list, an answer to a watch or a peer's copy that is on its way.
@@ -301,8 +320,15 @@
 // check fails if the node took an older copy for a newer one, or would send requests to a
 // server that must not get any. Incarnations are never started twice in this test, and a
 // server that ended never becomes ready again.
-func (n *drillNode) check(t *rapid.T) {
+func (n *drillNode) check(t *rapid.T, store *drillStore) {
 	v := n.View()
+	got := map[string]catalog.Version{}
+	for _, item := range n.ChangesSince(catalog.Version{}).Items {
+		got[item.Key] = item.Version
+	}
+	if want := store.had[v.Version]; !v.Version.IsZero() && !maps.Equal(got, want) {
+		t.Fatalf("at %v: %v, want %v", v.Version, got, want)
+	}
 	if n.newest.IsNewerThan(v.Version) {
 		t.Fatalf("version %v after %v", v.Version, n.newest)
 	}
@@ -333,7 +359,7 @@
 func TestDrillsKeepCopiesOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		store := &drillStore{items: map[string]catalog.Item{}, states: map[uint64]map[string]catalog.Item{}}
+		store := newDrillStore()
 		started, version := int64(0), uint64(0)
 		life := map[string]*mesh.Server{} // the newest incarnations
 		put := func(name string, state mesh.ServerState) {
@@ -416,12 +442,12 @@
 			},
 			"": func(t *rapid.T) {
 				for _, n := range nodes {
-					n.check(t)
+					n.check(t, store)
 				}
 			},
 		})
 		for _, n := range nodes {
-			n.check(t)
+			n.check(t, store)
 		}
 		// Servers and operators write their records again, and everything settles.
 		for name, server := range life {
@@ -434,17 +460,12 @@
 		for _, n := range nodes {
 			n.receive(store.list(), now)
 			n.ExpireSuspects(now.Add(2 * catalog.ReregistrationGrace))
-			want := map[string]catalog.Version{}
-			for key, item := range store.items {
-				want[key] = item.Version
-			}
-			got := map[string]catalog.Version{}
-			for _, item := range n.ChangesSince(catalog.Version{}).Items {
-				got[item.Key] = item.Version
-			}
-			if v := n.View(); v.Version != store.version || !maps.Equal(got, want) || v.Config.Version != version ||
-				v.Evacuated["north"] != (want["enorth"] != catalog.Version{}) {
-				t.Fatalf("at %v, configuration %d, evacuated %v: %v, want %v", v.Version, v.Config.Version, v.Evacuated, got, want)
+			clear(n.ended) // the records are written again after any end
+			n.check(t, store)
+			_, evacuated := store.items["enorth"]
+			if v := n.View(); v.Version != store.version || v.Config.Version != version || v.Evacuated["north"] != evacuated {
+				t.Fatalf("at %v, want %v; configuration %d, want %d; evacuated %v, want %v",
+					v.Version, store.version, v.Config.Version, version, v.Evacuated, evacuated)
 			}
 		}
 	})
