Test eras at the feed, the store's client and between nodes

Change: restored stores, late responses, peers of several eras and of builds without eras, lists across a restore.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -187,13 +187,13 @@
 		client, address := newClientAndServer(func(context.Context, *contract.Request) (*contract.Answer, error) {
 			e := verdict.Refuse(verdict.ReasonLeaving, 7*time.Second)
 			e.Fenced = true
-			e.HostListRevision = 12
+			e.HostListRevision, e.HostListEra = 12, 3
 			return nil, e
 		}, nil)
 		_, err := client.Do(context.Background(), address, newRequest(bytes.NewReader(randomBytes(4<<20)), 4<<20))
 		e := verdict.FromError(err)
 		Expect(*e).To(Equal(verdict.Error{
-			Verdict: verdict.NotRun, Reason: verdict.ReasonLeaving, RetryAfter: 7 * time.Second, Fenced: true, HostListRevision: 12,
+			Verdict: verdict.NotRun, Reason: verdict.ReasonLeaving, RetryAfter: 7 * time.Second, Fenced: true, HostListRevision: 12, HostListEra: 3,
 		}))
 	})
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -33,6 +33,8 @@
 	missesEvents bool
 	lists        int
 	watches      int
+	// failingEra is the era that failed calls state.
+	failingEra uint64
 	// valueBytes is the size of each item, bytesPerSecond the bandwidth of the link.
 	valueBytes, bytesPerSecond int
 }
@@ -65,7 +67,16 @@
 func (s *fakeStore) put(revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items = append(s.items, catalog.Item{Key: "k", Version: at(revision)})
+	era := s.items[len(s.items)-1].Version.Era
+	s.items = append(s.items, catalog.Item{Key: "k", Version: catalog.Version{Era: era, Revision: revision}})
+}
+
+// restore restores the store at a revision of the next era.
+func (s *fakeStore) restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.items[len(s.items)-1].Version.Era + 1
+	s.items = []catalog.Item{{Key: "k", Version: catalog.Version{Era: era, Revision: revision}}}
 }
 
 func (s *fakeStore) update(change func()) {
@@ -94,18 +105,20 @@
 	for {
 		s.mu.Lock()
 		last := s.items[len(s.items)-1]
-		down, compacted, missesEvents := s.down, s.compacted, s.missesEvents
+		down, compacted, missesEvents, failingEra := s.down, s.compacted, s.missesEvents, s.failingEra
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, catalog.Version{}, errDown
+			return nil, catalog.Version{Era: failingEra}, errDown
+		case after.Revision > last.Version.Revision:
+			return nil, catalog.Version{Era: last.Version.Era}, feed.ErrCompacted // after a restore
 		case compacted && !missesEvents:
 			return nil, catalog.Version{}, feed.ErrCompacted
-		case !missesEvents && last.Version.IsNewerThan(after):
+		case !missesEvents && last.Version.Revision > after.Revision:
 			return s.transfer(s.since(after)), last.Version, nil
 		case !time.Now().Before(end) || ctx.Err() != nil:
 			s.update(func() { s.missesEvents = false })
-			return nil, after, nil
+			return nil, last.Version, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -116,7 +129,7 @@
 	defer s.mu.Unlock()
 	var out []catalog.Item
 	for _, item := range s.items {
-		if item.Version.IsNewerThan(after) {
+		if item.Version.Revision > after.Revision {
 			out = append(out, item)
 		}
 	}
@@ -126,8 +139,8 @@
 // fakePeers is a set of peers whose state is set by a test.
 type fakePeers struct {
 	mu sync.Mutex
-	// revision is the revision of every peer's copy; 0 makes queries fail.
-	revision uint64
+	// revision is the revision of every peer's copy, in an era; 0 makes queries fail.
+	era, revision uint64
 	// hasUpstream reports that there is an upstream; age is the age of its copy.
 	hasUpstream bool
 	age         time.Duration
@@ -149,7 +162,8 @@
 	if p.revision == 0 {
 		return feed.PeerState{}, errDown
 	}
-	return feed.PeerState{Changes: catalog.Changes{Items: []catalog.Item{{Key: "k", Version: at(p.revision)}}, Complete: true, Version: at(p.revision)}, Age: p.age}, nil
+	version := catalog.Version{Era: p.era, Revision: p.revision}
+	return feed.PeerState{Changes: catalog.Changes{Items: []catalog.Item{{Key: "k", Version: version}}, Complete: true, Version: version}, Age: p.age}, nil
 }
 
 func (p *fakePeers) Query(context.Context, catalog.Version) (feed.PeerState, error) {
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -117,12 +117,17 @@
 
 // countBehind returns the number of running nodes that have not reached a revision.
 func (f *feedFleet) countBehind(revision uint64) int {
+	return f.countOlder(at(revision))
+}
+
+// countOlder returns the number of running nodes that have not reached a version.
+func (f *feedFleet) countOlder(version catalog.Version) int {
 	count := 0
 	for _, n := range f.nodes {
 		f.mu.Lock()
 		down := n.down
 		f.mu.Unlock()
-		if !down && n.catalog.View().Version.Revision < revision {
+		if !down && version.IsNewerThan(n.catalog.View().Version) {
 			count++
 		}
 	}
--- a/internal/sidecar/lasthop_test.go
+++ b/internal/sidecar/lasthop_test.go
@@ -151,6 +151,22 @@
 	g.Expect(hop.check(r)).To(BeNil())
 }
 
+// A revision of an older era is not newer than the view, however great it is.
+func TestEraOfTheHostListDecidesWhoseViewIsNewer(t *testing.T) {
+	g := NewWithT(t)
+	replica := newTestCatalog(1)
+	replica.Replace([]catalog.Item{{Key: "config", Version: catalog.Version{Era: 2, Revision: 3}}}, catalog.Version{Era: 2, Revision: 5}, time.Now())
+	hop := newTestHop(t, replica.View())
+	for _, listed := range []catalog.Version{{Revision: 1000}, {Era: 1, Revision: 1000}, {Era: 2, Revision: 5}} {
+		r := requestTo("unknown", nil, 0)
+		r.HostListEra, r.HostListRevision = listed.Era, listed.Revision
+		g.Expect(hop.check(r)).NotTo(BeNil(), listed.String())
+	}
+	r := requestTo("newer", nil, 0)
+	r.HostListEra, r.HostListRevision = 3, 1
+	g.Expect(hop.check(r)).To(BeNil())
+}
+
 func TestRequestToAReplacedServerIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	hop := newTestHop(t, newTestView(1))
