--- a/test/mesh/failures_test.go
+++ b/test/mesh/failures_test.go
@@ -1,8 +1,10 @@
 package mesh
 
 import (
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -183,6 +185,48 @@
 		}
 	})
 
+	// Guards against nodes that ignore the store after a restore, go back to what it lost, or
+	// send requests to a server whose draining it lost.
+	It("goes on when the store is restored from an older copy", func() {
+		adding := func(name string) func(routes []map[string]any) []map[string]any {
+			return func(routes []map[string]any) []map[string]any {
+				added := maps.Clone(routes[0])
+				added["name"], added["prefix"] = name, "/"+name+"/"
+				return append(routes, added)
+			}
+		}
+		onAll := func(path string) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(f.machines, func(m *machine) bool { return !f.do(m, http.MethodGet, path, nil).good() })
+			}
+		}
+		backup := f.store.Copy()
+		drained := f.machines[0].server
+		drained.Drain()
+		drainedAt := time.Now()
+		f.publish(adding("lost"))
+		Eventually(onAll("/lost/a"), patience).Should(BeTrue())
+		time.Sleep(time.Until(drainedAt.Add(drainBound)))
+		calls := f.during(perSecond, func() {
+			f.store.SetMode(standin.MetaStoreBusy)
+			time.Sleep(time.Second)
+			f.store.Restore(backup)
+			f.store.SetMode(standin.MetaStoreUp)
+			time.Sleep(4 * time.Second)
+		})
+		f.checkPromises(calls)
+		Expect(goodShare(calls, time.Time{})).To(BeNumerically(">=", 0.99))
+		Expect(onAll("/lost/a")()).To(BeTrue(), "a newer configuration stays in force")
+		f.publish(adding("after"))
+		Eventually(onAll("/after/a"), patience).Should(BeTrue())
+		Expect(f.do(f.machines[1], http.MethodGet, "/lost/a", nil).good()).To(BeFalse())
+		for _, run := range f.record.Runs() {
+			if run.Server == drained.ID() {
+				Expect(run.At).To(BeTemporally("<", drainedAt.Add(drainBound)))
+			}
+		}
+	})
+
 	It("explains a refused request by its id", func() {
 		for _, m := range f.machines[:hostsEach] {
 			m.server.Leave()
