Describe the era of the store; split the catalog by subject

A warm-up doesn't get shorter by a restored record. Run: go test -p 2 ./internal/catalog ./internal/feed ./internal/sidecar ./platform ./internal/exchange ./internal/link: pass; go vet and staticcheck of these: clean.

--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -6,9 +6,9 @@
 	"boragefall/internal/mesh"
 )
 
-// maxEndings limits the incarnations that are remembered as draining, leaving or gone. It
-// covers several replacements of each server of the largest fleet.
-const maxEndings = 8192
+// maxEndings limits the incarnations that are remembered as draining, leaving or gone. A
+// restored copy is some seconds old; in that time a fleet of 1,800 servers may be replaced.
+const maxEndings = 4096
 
 // ending is the last that was known of an incarnation that receives no requests any more.
 type ending struct {
@@ -25,8 +25,6 @@
 	if version.Era <= c.version.Era {
 		return false
 	}
-	c.logger.Warn().Str("part", "catalog").Stringer("known", c.version).Stringer("version", version).
-		Msg("store was restored from an older copy")
 	// Tombstones and gaps of older eras say nothing about the revisions of this one.
 	for key, item := range c.items {
 		if item.Deleted {
@@ -34,9 +32,14 @@
 		}
 	}
 	c.tombstones, c.gaps, c.compacted, c.eraStart = 0, nil, version, version
-	if until := now.Add(ReregistrationGrace); !c.version.IsZero() && until.After(c.graceUntil) {
+	if c.version.IsZero() {
+		return true
+	}
+	if until := now.Add(ReregistrationGrace); until.After(c.graceUntil) {
 		c.graceUntil = until
 	}
+	c.logger.Warn().Str("part", "catalog").Stringer("known", c.version).Uint64("era", version.Era).Uint64("revision", version.Revision).
+		Msg("store was restored from an older copy")
 	return true
 }
 
@@ -81,7 +84,7 @@
 // until the end of the grace period.
 func (c *Catalog) keepEvacuation(dataCentre string, version Version) {
 	c.evacuatedUntil[dataCentre] = c.graceUntil
-	c.logger.Info().Str("part", "catalog").Str("data_centre", dataCentre).Stringer("version", version).
+	c.logger.Info().Str("part", "catalog").Str("data_centre", dataCentre).Uint64("era", version.Era).Uint64("revision", version.Revision).
 		Msg("evacuation kept for now: it is missing since the store was restored")
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -22,13 +22,6 @@
 // a watch.
 var ErrCompacted = eris.New("store compacted the events after the requested revision")
 
-// ErrOlderEra reports that a response is of an older era of the store than the catalog.
-var ErrOlderEra = eris.New("response is of an older era of the store")
-
-// errNewerEra reports that the response to a watch is of a newer era than the revision from
-// which it started.
-var errNewerEra = eris.New("store was restored")
-
 // Store is the data source of a Feed.
 type Store interface {
 	// List returns all items and the version at which a watch has to start to miss no
@@ -114,13 +107,6 @@
 	listInsteadOfWatch bool
 }
 
-// eraTime is a time in an era of the store. It includes a monotonic clock reading, since
-// the wall clock may jump.
-type eraTime struct {
-	era uint64
-	at  time.Time
-}
-
 // New returns a feed.
 func New(cfg Config, store Store, peers Peers, c *catalog.Catalog, meter Meter, logger *log.Logger) *Feed {
 	f := &Feed{cfg: cfg.withDefaults(), store: store, peers: peers, catalog: c, meter: meter, logger: logger}
@@ -173,11 +159,11 @@
 			f.sleep(ctx, f.batchDelay(uptime))
 		}
 	case errors.Is(err, ErrCompacted) || errors.Is(err, errNewerEra):
-		f.logger.Info().Str("part", "feed").Stringer("version", f.catalog.Version()).Uint64("era", f.newestEra.Load()).
+		f.logger.Info().Str("part", "feed").Uint64("era", f.newestEra.Load()).Uint64("revision", f.catalog.Version().Revision).
 			AnErr("cause", err).Msg("store history gone; listing all items")
 		f.relist = true
 		f.upstreamFailures = f.cfg.UpstreamAttempts // list next instead of trying an upstream first
-	case errors.Is(err, ErrOlderEra):
+	case errors.Is(err, errOlderEra):
 		// The store responds, so the node goes on without a grace period for its records.
 		// It asks peers meanwhile, in case the store keeps responding so.
 		f.storeFailing.Store(true)
@@ -232,7 +218,7 @@
 		}
 	}
 	f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
-		Dur("age", state.Age).Stringer("version", state.Version).AnErr("cause", err).Msg("upstream not followed")
+		Dur("age", state.Age).Uint64("era", state.Version.Era).Uint64("revision", state.Version.Revision).AnErr("cause", err).Msg("upstream not followed")
 	return false
 }
 
@@ -253,35 +239,6 @@
 	return nil
 }
 
-// mergePeerState merges a peer's state of any age. What the peer proves counts from the
-// beginning of the request, since the time that the answer took to arrive is unknown.
-//
-// A state of an older era, or an incomplete one of a newer era, is discarded: neither its
-// items nor its age say anything about the present era. Only a node without a complete copy
-// takes the items of an older era, since it can't serve requests otherwise.
-func (f *Feed) mergePeerState(state PeerState, began time.Duration, now time.Time) error {
-	era, known := state.Version.Era, f.catalog.Version().Era
-	f.noteEra(era)
-	outdated := era < f.newestEra.Load()
-	if outdated && f.complete.Load() || !f.catalog.Merge(state.Changes, now) {
-		f.meter.StoreCalled("peer", resultOlderEra)
-		return f.olderEra("peer", state.Version)
-	}
-	if state.Complete {
-		f.complete.Store(true)
-	}
-	if outdated {
-		return f.olderEra("peer", state.Version)
-	}
-	if era > known {
-		f.setCurrent(era, now.Add(-state.Age)) // what was known of an older era doesn't count
-	}
-	if state.Proof != nil {
-		f.setProven(era, began+state.Proof.Held-state.Proof.Age)
-	}
-	return nil
-}
-
 // Age returns the time since the catalog was known to be current.
 func (f *Feed) Age(now time.Time) time.Duration {
 	return now.Sub(f.currentAsOf.Load().at)
@@ -308,7 +265,7 @@
 	events, version, err := f.store.Watch(ctx, known, wait)
 	answeredAt := time.Now()
 	if err = f.checkEra("watch", version, err); err == nil && version.Era > known.Era {
-		err = eris.Wrapf(errNewerEra, "era %d", version.Era)
+		err = errNewerEra // the events continue nothing that the catalog holds
 	}
 	if len(events) == 0 {
 		// The watch covers all keys, so a newer revision without an event means that the
@@ -327,23 +284,6 @@
 	return len(events) > 0, nil
 }
 
-// checkEra returns an error unless a response is of the newest known era. err is the error
-// of the call, which may state a newer era, too.
-func (f *Feed) checkEra(call string, version catalog.Version, err error) error {
-	f.noteEra(version.Era)
-	if err == nil && version.Era < f.newestEra.Load() {
-		return f.olderEra(call, version)
-	}
-	return err
-}
-
-// olderEra records that something of an older era than the newest known one is discarded.
-func (f *Feed) olderEra(source string, version catalog.Version) error {
-	f.logger.Warn().Str("part", "feed").Str("source", source).Stringer("version", version).
-		Stringer("known", f.catalog.Version()).Uint64("era", f.newestEra.Load()).Msg("discarded data of an older era of the store")
-	return eris.Wrapf(ErrOlderEra, "%s of version %v", source, version)
-}
-
 // list reads all items. After large events it reports whether the store's revision
 // advanced; if so, the next call lists again.
 func (f *Feed) list(ctx context.Context) (changed bool, err error) {
@@ -372,9 +312,6 @@
 	return n
 }
 
-// resultOlderEra is the result of a call whose response is of an older era.
-const resultOlderEra = "older_era"
-
 func (f *Feed) countCall(call string, err error) {
 	result := "ok"
 	switch {
@@ -382,7 +319,7 @@
 		result = "history_gone"
 	case errors.Is(err, errNewerEra):
 		result = "newer_era"
-	case errors.Is(err, ErrOlderEra):
+	case errors.Is(err, errOlderEra):
 		result = resultOlderEra
 	case err != nil:
 		result = "failed"
@@ -440,7 +377,7 @@
 		err = f.mergePeerState(state, began, time.Now())
 	}
 	if err == nil && state.Age > f.cfg.MaxAge && state.Version.IsNewerThan(known) {
-		f.logger.Info().Str("part", "feed").Stringer("version", state.Version).Int("items", len(state.Items)).
+		f.logger.Info().Str("part", "feed").Uint64("era", state.Version.Era).Uint64("revision", state.Version.Revision).Int("items", len(state.Items)).
 			Msg("state taken from a peer")
 	}
 }
--- a/internal/feed/provenage.go
+++ b/internal/feed/provenage.go
@@ -44,13 +44,3 @@
 		}
 	}
 }
-
-// noteEra records that the store has reached an era.
-func (f *Feed) noteEra(era uint64) {
-	for {
-		known := f.newestEra.Load()
-		if era <= known || f.newestEra.CompareAndSwap(known, era) {
-			return
-		}
-	}
-}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -206,7 +206,7 @@
 	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).Str("server", r.Server).
 		Str("reason", e.Reason.String()).Str("wants", admissionMode(r)).Str("state", load.State.String()).Int("running", load.Running).
 		Int("queued", load.Queued).Int("slots", load.Limit).Dur("service", load.ServiceTime).
-		Uint64("revision", h.view().Version.Revision).Dur("retry_after", e.RetryAfter).Msg("refused")
+		Uint64("era", h.view().Version.Era).Uint64("revision", h.view().Version.Revision).Dur("retry_after", e.RetryAfter).Msg("refused")
 }
 
 // admissionMode describes for the log how long a request may wait for a slot.
