Keep a restarted server in use when its former record comes back

Cause: a server restarted under its id in the lost seconds would be listed by the record of its former incarnation and get no requests until it registers again. Change: its present incarnation is suspect, as other servers that are missing.

--- a/internal/catalog/records.go
+++ b/internal/catalog/records.go
@@ -94,12 +94,17 @@
 		c.removeServer(id, item.Version, malformed, now)
 		return
 	}
+	old := c.servers[id]
+	withheld := c.predatesEnding(record.Server, item.Version)
+	if withheld && old != nil && old.StartUnixMillis > record.Server.StartUnixMillis {
+		c.removeServer(id, item.Version, false, now) // the record of the newer incarnation is missing
+		return
+	}
 	delete(c.suspectUntil, id)
-	listing := &Listing{Server: record.Server, Version: item.Version, FirstSeen: now}
+	listing := &Listing{Server: record.Server, Version: item.Version, FirstSeen: now, Withheld: withheld}
 	if record.Server.ColdFor > 0 {
 		listing.ColdUntil = now.Add(record.Server.ColdFor)
 	}
-	old := c.servers[id]
 	if old != nil && old.SameIncarnation(record.Server) {
 		listing.FirstSeen = old.FirstSeen
 		sameRecord := bytes.Equal(item.Value, replaced.Value)
@@ -109,7 +114,6 @@
 			listing.ColdUntil = old.ColdUntil
 		}
 	}
-	listing.Withheld = c.predatesEnding(record.Server, item.Version)
 	c.updateEnding(old, listing)
 	c.servers[id] = listing
 	if old == nil || old.State != listing.State || old.Withheld != listing.Withheld || !old.SameIncarnation(record.Server) {
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -135,6 +135,18 @@
 		Expect(usableIDs(c)).To(Equal([]string{"a"}))
 	})
 
+	// Guards against a restarted server that is idle because its former record came back.
+	It("keeps a server whose newer incarnation is missing as suspect", func() {
+		c.Apply([]catalog.Item{serverItem("a", 21, born(200))}, at(21), now)
+		c.Replace([]catalog.Item{ready(1, 10)}, era1(12), now)
+		Expect(c.View().Servers["a"].Suspect).To(BeTrue())
+		Expect(c.View().Servers["a"].StartUnixMillis).To(BeEquivalentTo(200))
+		c.ExpireSuspects(now.Add(catalog.ReregistrationGrace))
+		Expect(usableIDs(c)).To(BeEmpty())
+		c.Apply([]catalog.Item{inEra(1, serverItem("a", 13, born(200)))}, era1(13), now)
+		Expect(usableIDs(c)).To(Equal([]string{"a"}))
+	})
+
 	// Guards against requests to a data centre whose evacuation was lost.
 	It("keeps a missing evacuation for the grace period", func() {
 		evacuation := catalog.Item{Key: "enorth", Version: at(21), Value: []byte("{}")}
@@ -440,6 +452,8 @@
 					n.ExpireSuspects(now)
 				}
 			},
+			"store away": func(*rapid.T) { drawn().MarkStoreUnavailable() },
+			"store back": func(*rapid.T) { drawn().MarkStoreAvailable(now) },
 			"": func(t *rapid.T) {
 				for _, n := range nodes {
 					n.check(t, store)
@@ -459,6 +473,7 @@
 		store.write(configItem(version, 0))
 		for _, n := range nodes {
 			n.receive(store.list(), now)
+			n.MarkStoreAvailable(now)
 			n.ExpireSuspects(now.Add(2 * catalog.ReregistrationGrace))
 			clear(n.ended) // the records are written again after any end
 			n.check(t, store)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -77,7 +77,7 @@
 	return &contract.Request{
 		ID: "r1", Method: http.MethodPost, URI: "/x", Service: "status", Header: http.Header{"A": {"b", "c"}},
 		Deadline: time.Now().Add(time.Minute), Body: body, ContentLength: length,
-		FencedHosts: []host.ID{"h1"}, KeyTime: time.UnixMilli(1234), Priority: config.PriorityHigh,
+		HostListEra: 3, HostListRevision: 8, FencedHosts: []host.ID{"h1"}, KeyTime: time.UnixMilli(1234), Priority: config.PriorityHigh,
 	}
 }
 
@@ -128,6 +128,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(r.Header).To(Equal(http.Header{"A": {"b", "c"}}))
 			Expect(r.FencedHosts).To(Equal([]host.ID{"h1"}))
+			Expect([]uint64{r.HostListEra, r.HostListRevision}).To(Equal([]uint64{3, 8}))
 			Expect(r.KeyTime.UnixMilli()).To(Equal(int64(1234)))
 			Expect(r.Priority).To(Equal(config.PriorityHigh))
 			return newAnswer(bytes.NewReader(got), -1), nil
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -28,12 +28,14 @@
 			store := &fakeStore{items: []catalog.Item{{Key: "k", Version: at(9)}}}
 			runFeed(t, store, &fakePeers{}, func(c *catalog.Catalog) {
 				time.Sleep(time.Second)
-				lists := store.lists
+				var before, after int
+				store.update(func() { before = store.lists })
 				store.restore(revision)
 				time.Sleep(time.Second)
 				wantVersion(t, c, catalog.Version{Era: 1, Revision: revision})
-				if store.lists != lists+1 {
-					t.Errorf("%d lists after the restore, want one", store.lists-lists)
+				store.update(func() { after = store.lists })
+				if after != before+1 {
+					t.Errorf("%d lists after the restore, want one", after-before)
 				}
 				store.put(revision + 1)
 				time.Sleep(propagationBound / 2)
