Start nested calls before new work at a gate

Cause: a call of a running request waited in the queue like new work, with the rank of its own route. A burst of less urgent requests with a long objective filled the queue, the calls were refused, and their runs failed after their work. Change: RequestHead.nested is encoded. A gate orders calls before new work, with a queue bound of their own and waits up to their deadline. A gate that holds its requests or is cold refuses calls that it can't serve, so that they move on. The random schedules of the admission tests now mix calls and ranks. Run: go test ./internal/admission ./internal/exchange

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -176,6 +176,14 @@
 	return g.machine.expectedServiceTime(class)
 }
 
+// Overloaded reports whether requests have been waiting for so much of recent time that a
+// wasted run takes the slot of another request.
+func (g *Gate) Overloaded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.overloaded(time.Now())
+}
+
 // Load returns the server's current load.
 func (g *Gate) Load() contract.Load {
 	g.mu.Lock()
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -52,6 +52,8 @@
 	Hedge bool
 	// HasPriorWork reports that a refusal would waste work already done for the request.
 	HasPriorWork bool
+	// Nested reports that the request is a call of a running request (see nested.go).
+	Nested bool
 }
 
 // Ticket is a request that was accepted into the queue.
@@ -62,6 +64,9 @@
 	// expectedLate reports that the request was expected to miss its objective when it
 	// was accepted.
 	expectedLate bool
+	// yieldUntil is the time until which the ticket lets nested calls that are not more
+	// urgent go first.
+	yieldUntil time.Time
 	// decision receives nil when the request may start, or the refusal.
 	decision chan *verdict.Error
 }
@@ -89,6 +94,10 @@
 	classServiceTimes *simplelru.LRU[string, *movingMean]
 	failureRate       movingMean
 	queuedShare       queuedShare
+	// callQueuedShare is the share of recent time in which nested calls were waiting.
+	callQueuedShare queuedShare
+	// heldSince is when the machine was first seen held; zero while it is not.
+	heldSince time.Time
 	// limiter holds the request limit that the server states.
 	limiter rateLimiter
 }
@@ -113,14 +122,14 @@
 		return nil, verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
 	}
 	m.limiter.recordDemand(r.Priority, now)
-	t := &Ticket{request: r, enqueuedAt: now, decision: make(chan *verdict.Error, 1)}
+	t := &Ticket{request: r, enqueuedAt: now, yieldUntil: yieldUntil(r, now), decision: make(chan *verdict.Error, 1)}
 	wait := m.expectedWait(t, now)
-	full := len(m.waiting) >= queuePerSlot*m.slots
-	refused := full || wait > 0 && !m.acceptable(r, 0, wait, now) || r.Hedge && !m.hasSpareCapacity(wait, now)
+	full := m.queueLength(r.Nested) >= queuePerSlot*m.slots
+	refused := full || m.heldForCall(r) || wait > 0 && !m.acceptable(r, 0, wait, now) || r.Hedge && !m.hasSpareCapacity(wait, now)
 	if refused {
 		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(t, wait, now))
 	}
-	t.expectedLate = wait > 0 && now.Add(wait+m.expectedServiceTime(r.Class)).After(r.Objective)
+	t.expectedLate = !r.Nested && wait > 0 && now.Add(wait+m.expectedServiceTime(r.Class)).After(r.Objective)
 	m.waiting = append(m.waiting, t)
 	return t, nil
 }
@@ -148,8 +157,9 @@
 // the result.
 func (m *Machine) Dispatch(now time.Time) time.Time {
 	m.refuseExpired(now)
+	callsMoveAt := m.moveCallsOn(now)
 	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < m.slots {
-		next := m.next()
+		next := m.next(now)
 		if at := later(m.nextColdStart(now), now.Add(m.limiter.wait(m.waiting[next].request, 0, now))); at.After(now) {
 			return at
 		}
@@ -160,7 +170,8 @@
 		t.decision <- nil
 	}
 	m.queuedShare.record(len(m.waiting) > 0, now)
-	return time.Time{}
+	m.callQueuedShare.record(m.queueLength(true) > 0, now)
+	return callsMoveAt
 }
 
 // Done ends a started ticket. failed reports that the server failed to serve the request.
@@ -305,9 +316,9 @@
 	m.limiter.grant(now)
 }
 
-// next returns the index of the next waiting request: by priority, then those expected to
-// meet their objective, then in order of arrival.
-func (m *Machine) next() int {
+// first returns the index of the first waiting request: nested calls, then by priority, then
+// those expected to meet their objective, then in order of arrival.
+func (m *Machine) first() int {
 	best := 0
 	for i := 1; i < len(m.waiting); i++ {
 		if before(m.waiting[i], m.waiting[best]) {
@@ -324,19 +335,24 @@
 }
 
 func before(a, b *Ticket) bool {
+	if a.request.Nested != b.request.Nested {
+		return a.request.Nested
+	}
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority < b.request.Priority
 	}
+	if a.request.Nested && a.request.HasPriorWork != b.request.HasPriorWork {
+		return a.request.HasPriorWork
+	}
 	if a.expectedLate != b.expectedLate {
 		return b.expectedLate
 	}
 	return a.enqueuedAt.Before(b.enqueuedAt)
 }
 
-// expectedWait estimates how long a new request waits behind the requests that go before
-// it.
-func (m *Machine) expectedWait(t *Ticket, now time.Time) time.Duration {
-	ahead := m.ahead(t)
+// waitBehind estimates how long a new request waits behind a number of requests that go
+// before it.
+func (m *Machine) waitBehind(t *Ticket, ahead int, now time.Time) time.Duration {
 	wait := m.limiter.wait(t.request, ahead, now)
 	if busy := m.running + ahead - m.slots + 1; busy > 0 {
 		wait = max(wait, time.Duration(busy)*m.serviceTime.duration()/time.Duration(m.slots))
@@ -347,17 +363,6 @@
 	return wait
 }
 
-// ahead returns the number of waiting requests that start before t.
-func (m *Machine) ahead(t *Ticket) int {
-	ahead := 0
-	for _, w := range m.waiting {
-		if w != t && !before(t, w) {
-			ahead++
-		}
-	}
-	return ahead
-}
-
 func (m *Machine) cold(now time.Time) bool {
 	return now.Before(m.coldUntil)
 }
@@ -402,7 +407,7 @@
 // retryAfter returns when a refused request that would wait may be sent again. A stated
 // limit permits nothing sooner, unlike slots, which become free all the time.
 func (m *Machine) retryAfter(t *Ticket, wait time.Duration, now time.Time) time.Duration {
-	return max(wait/slotTurnoverFactor, m.limiter.wait(t.request, m.ahead(t), now), minRetryAfter)
+	return max(wait/slotTurnoverFactor, m.limiter.wait(t.request, m.ahead(t, now), now), minRetryAfter)
 }
 
 func (m *Machine) recordServiceTime(class string, elapsed time.Duration) {
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -191,6 +191,8 @@
 			case 0, 1:
 				r := request(now, time.Duration(rapid.IntRange(1, 500).Draw(t, "objective"))*time.Millisecond, time.Second)
 				r.AllowDelay = rapid.Bool().Draw(t, "settle")
+				r.Nested = rapid.Bool().Draw(t, "nested")
+				r.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
 				if ticket, refusal := m.Enqueue(r, now); refusal == nil {
 					waiting = append(waiting, ticket)
 				}
--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -107,7 +107,7 @@
 
 // reserve returns the tokens that a request has to leave for more urgent ones.
 func (l *rateLimiter) reserve(r Request, now time.Time) float64 {
-	if r.HasPriorWork || l.limit.PerSecond <= 0 {
+	if r.HasPriorWork || r.Nested || l.limit.PerSecond <= 0 {
 		return 0
 	}
 	urgent := 0.0
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -78,6 +78,9 @@
 	// HasPriorWork reports that the request is a call made by a running request whose
 	// earlier calls were answered. A refusal would waste that work.
 	HasPriorWork bool
+	// Nested reports that the request is a call made by a running request, and that Rank is
+	// the rank of that request. Old builds don't set it.
+	Nested bool
 	// RateLimit is the limit that the server stated lately, as far as the entry knows.
 	RateLimit RateLimit
 	// Fingerprint identifies the request in the quarantine.
--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -94,6 +94,7 @@
 		Invested:         r.HasPriorWork,
 		Spare:            r.Hedge,
 		RateLimit:        encodeRateLimit(r.RateLimit),
+		Nested:           r.Nested,
 	}
 	if !r.Objective.IsZero() {
 		head.ObjectiveMicros = r.Objective.Sub(now).Microseconds()
@@ -128,6 +129,7 @@
 		HasPriorWork:     head.GetInvested(),
 		Hedge:            head.GetSpare(),
 		RateLimit:        decodeRateLimit(head.RateLimit),
+		Nested:           head.GetNested(),
 	}
 	if micros := head.GetObjectiveMicros(); micros != 0 {
 		r.Objective = now.Add(time.Duration(micros) * time.Microsecond)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -164,7 +164,7 @@
 		refuse := false
 		client, address := newClientAndServer(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
 			defer GinkgoRecover()
-			Expect([]bool{r.AllowDelay, r.HasPriorWork, r.Hedge}).To(Equal([]bool{true, false, true}))
+			Expect([]bool{r.AllowDelay, r.HasPriorWork, r.Hedge, r.Nested}).To(Equal([]bool{true, false, true, true}))
 			time.Sleep(runTime)
 			if refuse {
 				return nil, verdict.Refuse(verdict.ReasonOverloaded, time.Second)
@@ -172,7 +172,7 @@
 			return newAnswer(http.NoBody, 0), nil
 		}, nil)
 		r := newRequest(http.NoBody, 0)
-		r.AllowDelay, r.Hedge = true, true
+		r.AllowDelay, r.Hedge, r.Nested = true, true, true
 		answer, err := client.Do(context.Background(), address, r)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.GateTime).To(BeNumerically(">=", runTime))
