Limit the runs whose calls are being refused

Cause: a gate started runs although the called service refused their calls. Change: internal/callbudget learns by route and rank how often the calls of runs are refused and starts as many new runs as the called service bears; the rest is refused at once, not run. Calls carry the rank of their run and try up to 12 gates.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -80,14 +80,18 @@
 	}
 	parent := d.hop.runs.parent(r.ID)
 	r.HasPriorWork = parent != nil && parent.callAnswered.Load()
+	if parent != nil {
+		r.Nested, r.Rank = true, parent.rank
+	}
 	d.countRequest(r.Service, parent)
 	t := &task{
 		dispatcher: d, request: r, route: route, body: body,
-		results: make(chan result, maxReroutes+route.MaxAttempts+2),
+		results: make(chan result, maxCallReroutes+route.MaxAttempts+2),
 		cancels: map[mesh.ServerID]context.CancelFunc{},
 	}
 	answer, err := t.run(ctx)
 	t.cancelExcept(answer)
+	d.recordCall(parent, r, err)
 	if answer == nil {
 		return nil, err
 	}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"boragefall/internal/admission"
+	"boragefall/internal/callbudget"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
@@ -68,6 +69,8 @@
 	coldChecks coldChecks
 	// runs are the requests that the server is running.
 	runs activeRuns
+	// callBudget limits the runs whose calls are being refused.
+	callBudget *callbudget.Budget
 	// handedOver counts the requests that were sent to the server.
 	handedOver atomic.Uint64
 
@@ -141,6 +144,7 @@
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
 		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, onFirstProbe: cfg.OnFirstProbe, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
+		callBudget: callbudget.New(),
 	}
 	h.prober = &prober{hop: h}
 	return h, nil
@@ -162,7 +166,7 @@
 	}
 	admissionRequest := admission.Request{
 		Class: r.Route, Priority: r.Rank, Deadline: r.Deadline, Objective: r.Objective, AllowDelay: r.AllowDelay,
-		HasPriorWork: r.HasPriorWork, Hedge: r.Hedge,
+		HasPriorWork: r.HasPriorWork, Hedge: r.Hedge, Nested: r.Nested,
 	}
 	if size := h.answerSizes.estimate(r.Route); size >= contract.LargeAnswerBytes {
 		// The answer's transit takes as long as sending the answers queued before it,
@@ -178,8 +182,14 @@
 			return nil, refusal
 		}
 	}
+	budgeted, refusal := h.startBudgeted(r)
+	if refusal != nil {
+		h.logRefusal(r, refusal)
+		return nil, refusal
+	}
 	release, err := h.bodies.receive(ctx, r)
 	if err != nil {
+		budgeted.Withdraw(time.Now())
 		return nil, err
 	}
 	defer release()
@@ -189,16 +199,18 @@
 	h.adoptLimit(r.RateLimit)
 	permit, err := h.gate.Admit(ctx, admissionRequest)
 	if err != nil {
+		budgeted.Withdraw(time.Now())
 		h.logRefusal(r, verdict.FromError(err))
 		return nil, err
 	}
 	// While the request was queued, the result of the first check may have changed.
 	if refusal := h.check(r); refusal != nil {
 		permit.Release()
+		budgeted.Withdraw(time.Now())
 		h.logRefusal(r, refusal)
 		return nil, refusal
 	}
-	return h.send(ctx, r, permit)
+	return h.send(ctx, r, permit, budgeted)
 }
 
 func (h *LastHop) logRefusal(r *contract.Request, e *verdict.Error) {
@@ -206,7 +218,7 @@
 	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).Str("server", r.Server).
 		Str("reason", e.Reason.String()).Str("wants", admissionMode(r)).Str("state", load.State.String()).Int("running", load.Running).
 		Int("queued", load.Queued).Int("slots", load.Limit).Dur("service", load.ServiceTime).
-		Uint64("revision", h.view().Revision).Dur("retry_after", e.RetryAfter).Msg("refused")
+		Uint64("revision", h.view().Revision).AnErr("cause", e.Cause).Dur("retry_after", e.RetryAfter).Msg("refused")
 }
 
 // admissionMode describes for the log how long a request may wait for a slot.
@@ -214,6 +226,8 @@
 	switch {
 	case r.Hedge:
 		return "spare room"
+	case r.Nested && r.AllowDelay:
+		return "any time until its deadline"
 	case r.HasPriorWork:
 		return "any time of its slack"
 	case r.AllowDelay:
@@ -298,12 +312,13 @@
 	return false
 }
 
-func (h *LastHop) send(ctx context.Context, r *contract.Request, permit *admission.Permit) (*contract.Answer, error) {
+func (h *LastHop) send(ctx context.Context, r *contract.Request, permit *admission.Permit, budgeted *callbudget.Run) (*contract.Answer, error) {
 	if !h.markHandedOver(r.ID) {
 		permit.Release()
+		budgeted.Withdraw(time.Now())
 		return nil, verdict.Refuse(verdict.ReasonFenced, shortRetryAfter)
 	}
-	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0})
+	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0, rank: r.Rank, budget: budgeted})
 	h.handedOver.Add(1)
 	h.checkColdIfStale(time.Now())
 	sentAt, listing := time.Now(), h.view().Servers[mesh.ServerID(r.Server)]
@@ -311,6 +326,7 @@
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
 	}})
 	h.runs.end(r.ID)
+	budgeted.End(time.Now())
 	if err != nil {
 		return nil, h.handleFailure(r, permit, verdict.FromError(err), sentAt)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -372,6 +372,7 @@
 	m.Gauge("quarantined_requests", "Requests that are refused because servers crashed while they ran them.", func() float64 {
 		return float64(len(hop.crashes.quarantinedRequests(time.Now())))
 	})
+	registerCallBudget(m, hop.callBudget)
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
--- a/internal/sidecar/runs.go
+++ b/internal/sidecar/runs.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+
+	"boragefall/internal/callbudget"
 )
 
 // callSeparator separates the ID of a request from the suffix that its server appends
@@ -16,6 +18,10 @@
 	isRetry bool
 	// callAnswered reports whether a nested call of the run was answered.
 	callAnswered atomic.Bool
+	// rank is the rank of the request; its calls have it too.
+	rank int
+	// budget records the outcomes of the calls; nil records none.
+	budget *callbudget.Run
 }
 
 // activeRuns holds the requests that the server beside this node is running, by ID. It
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -20,6 +20,9 @@
 	// maxReroutes bounds the gates that may refuse one request before the caller is
 	// refused; each refusal costs a round trip.
 	maxReroutes = 6
+	// maxCallReroutes is that bound for a nested call: a refusal costs a round trip, the
+	// failure of the call the whole work of its run.
+	maxCallReroutes = 12
 	// maxPromptAttempts is the number of gates tried for an immediate start; after
 	// that, a gate is sought that queues the request. Two choices find most free slots,
 	// and each further one costs small hosts more than it finds.
@@ -241,15 +244,21 @@
 // request that it would not start at once, and refuse a hedged request that it would
 // accept as a first attempt.
 func admissionClass(r *contract.Request) string {
+	class := r.Route
+	if r.Nested {
+		class += " call"
+	}
 	switch {
 	case r.Hedge:
-		return r.Route + " spare"
+		return class + " spare"
+	case r.HasPriorWork && r.Nested && r.AllowDelay:
+		return class + " invested settling"
 	case r.HasPriorWork:
-		return r.Route + " invested"
+		return class + " invested"
 	case r.AllowDelay:
-		return r.Route + " settling"
+		return class + " settling"
 	default:
-		return r.Route
+		return class
 	}
 }
 
@@ -340,7 +349,7 @@
 	if t.lastRefusal.Reason == verdict.ReasonServerRefused && !t.dispatcher.retryBudgetFor(t.request.Service).TryWithdraw() {
 		return t.finishUnlessRunning()
 	}
-	if t.reroutes <= maxReroutes && t.remaining() > minRemaining && ctx.Err() == nil {
+	if t.reroutes <= t.maxReroutes() && t.remaining() > minRemaining && ctx.Err() == nil {
 		if (t.reroutes < maxPromptAttempts || t.request.AllowDelay) && t.startAttempt(ctx) == nil {
 			return nil, false, nil
 		}
@@ -358,7 +367,7 @@
 	if !t.request.AllowDelay {
 		return true
 	}
-	return !t.startedOver && t.lastRefusal.Reason == verdict.ReasonUnreachable
+	return !t.startedOver && (t.request.Nested || t.lastRefusal.Reason == verdict.ReasonUnreachable)
 }
 
 // startQueued sends the request to a gate that may queue it, preferring the gates that
@@ -415,6 +424,14 @@
 	return wait + time.Duration(rand.Float64()*retryAfterJitter*float64(wait))
 }
 
+// maxReroutes returns how many gates may refuse the request.
+func (t *task) maxReroutes() int {
+	if t.request.Nested {
+		return maxCallReroutes
+	}
+	return maxReroutes
+}
+
 func (t *task) remaining() time.Duration {
 	return time.Until(t.request.Deadline)
 }
