Count the bytes exchanged with other data centres by kind

Traffic between data centres is the largest single cost of one deployment, and no metric showed which bytes it consists of. Each request that leaves the data centre is counted at the node that sent it, as content of bodies, answers or nested calls and as the heads around them; state queries are counted by message size.

--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -66,6 +66,9 @@
 	// Objective is the time by which an answer is most useful, by this process's
 	// clock; it is zero if there is none.
 	Objective time.Time
+	// CrossesDataCentres reports that the chosen server is in another data centre than this
+	// node. It is not sent.
+	CrossesDataCentres bool
 	// Origin is the service on whose host the request entered the mesh.
 	Origin string
 	// Rank is the request's rank in the queue of a full server; 0 is served first.
--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -23,7 +23,8 @@
 // sendBody sends a body in chunks, followed by an end chunk with the total length
 // and the trailers. A body that fits one chunk and has a stated length is flushed
 // together with the messages buffered before it.
-func sendBody(stream *link.Stream, body io.Reader, length int64, trailers func() http.Header) error {
+// It returns the number of bytes of the body that were sent.
+func sendBody(stream *link.Stream, body io.Reader, length int64, trailers func() http.Header) (int64, error) {
 	buffer := chunkBuffers.Get().(*[ChunkBytes]byte)
 	defer chunkBuffers.Put(buffer)
 	var total uint64
@@ -32,20 +33,20 @@
 		if n > 0 {
 			total += uint64(n)
 			if sendErr := stream.Send(&wire.Chunk{Data: buffer[:n]}); sendErr != nil {
-				return sendErr
+				return int64(total), sendErr
 			}
 		}
 		if err == io.EOF {
-			return sendEnd(stream, total, trailers())
+			return int64(total), sendEnd(stream, total, trailers())
 		}
 		if err != nil {
-			return eris.Wrap(ErrTruncated, err.Error())
+			return int64(total), eris.Wrap(ErrTruncated, err.Error())
 		}
 		if int64(total) == length {
 			continue // the end chunk follows at once and shares the flush
 		}
 		if err := stream.Flush(); err != nil {
-			return err
+			return int64(total), err
 		}
 	}
 }
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
 	"boragefall/internal/link"
+	"boragefall/internal/transfer"
 	"boragefall/internal/verdict"
 	"boragefall/internal/wire"
 )
@@ -37,6 +39,8 @@
 	propagator propagation.TraceContext
 	// id identifies this process to the meters of other nodes.
 	id uint64
+	// observe is called at the end of each exchange; nil for none.
+	observe func(r *contract.Request, u transfer.Usage)
 }
 
 // NewClient returns a client over a dialer of the request class.
@@ -44,6 +48,12 @@
 	return &Client{dialer: dialer, id: max(rand.Uint64(), 1)}
 }
 
+// ObserveTransfers sets a function that is called with the bytes of each request at the end
+// of its exchange. It must be called before the first request.
+func (c *Client) ObserveTransfers(observe func(r *contract.Request, u transfer.Usage)) {
+	c.observe = observe
+}
+
 // Do sends a request to the gate at an address. Its errors are *verdict.Error.
 // When the gate refuses the request, Do returns both the error and an answer that
 // holds only the gate's load and the time that the request spent at the gate.
@@ -59,7 +69,7 @@
 		// Proof: Open only fails before any byte of the opening message is flushed.
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, err)
 	}
-	call := &clientCall{stream: stream, uploadDone: make(chan struct{}), uploadDecision: make(chan bool, 1)}
+	call := &clientCall{client: c, request: r, stream: stream, uploadDone: make(chan struct{}), uploadDecision: make(chan bool, 1)}
 	if head.GetAwaitGo() {
 		go call.sendBodyOnContinue(r)
 	} else {
@@ -74,7 +84,15 @@
 
 // clientCall is a request in progress.
 type clientCall struct {
-	stream *link.Stream
+	client  *Client
+	request *contract.Request
+	stream  *link.Stream
+	// bodyBytes is the size of the body that was sent. It may be read once uploadDone is
+	// closed.
+	bodyBytes int64
+	// answer is the body of the answer; nil before there is one.
+	answer    *bodyReader
+	closeOnce sync.Once
 	// uploadDone is closed when no more of the body will be sent.
 	uploadDone chan struct{}
 	// uploadDecision receives whether to send a body that is held until the gate
@@ -95,7 +113,8 @@
 // side of the stream: the gate reads a truncated body and answers, or the stream breaks.
 func (c *clientCall) sendBody(r *contract.Request) {
 	defer close(c.uploadDone)
-	err := sendBody(c.stream, r.Body, r.ContentLength, func() http.Header { return r.Trailer })
+	var err error
+	c.bodyBytes, err = sendBody(c.stream, r.Body, r.ContentLength, func() http.Header { return r.Trailer })
 	if errors.Is(err, ErrTruncated) {
 		c.stream.Abort()
 	}
@@ -121,6 +140,7 @@
 	}
 	trailer := http.Header{}
 	reader := &bodyReader{stream: c.stream, trailer: trailer, length: head.GetContentLength()}
+	c.answer = reader
 	return &contract.Answer{
 		Status:        int(head.GetStatus()),
 		Header:        decodeHeaders(head.GetHeaders()),
@@ -145,9 +165,21 @@
 	c.stream.Abort()
 	c.decideUpload(false)
 	<-c.uploadDone
+	c.closeOnce.Do(c.reportTransfer)
 	c.stream.Close()
 }
 
+func (c *clientCall) reportTransfer() {
+	if c.client.observe == nil {
+		return
+	}
+	usage := transfer.Usage{Total: c.stream.Transferred(), Body: c.bodyBytes}
+	if c.answer != nil {
+		usage.Answer = int64(c.answer.total)
+	}
+	c.client.observe(c.request, usage)
+}
+
 // receiveError classifies the error of a stream that broke after the request was sent.
 // The verdict is MayHaveRun, since nothing proves that the request did not run.
 func receiveError(ctx context.Context, err error) *verdict.Error {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -106,7 +106,7 @@
 	if stream.Send(head) != nil {
 		return
 	}
-	err := sendBody(stream, a.Body, a.ContentLength, a.Trailer)
+	_, err := sendBody(stream, a.Body, a.ContentLength, a.Trailer)
 	if errors.Is(err, ErrTruncated) {
 		// The stream closes without a last chunk, so the sender detects the truncation.
 		s.logger.Warn().Str("part", "exchange").Str("request", r.ID).Err(err).Msg("answer cut")
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,14 +24,33 @@
 // Stream is one bidirectional exchange of messages with a peer. One goroutine may
 // send while another receives. Close must be called when both are done.
 type Stream struct {
-	conn      net.Conn
+	conn      *streamConn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	unbind    func() bool
 	closeOnce sync.Once
 }
 
-func newStream(conn net.Conn) *Stream {
+// streamConn counts the bytes of a stream.
+type streamConn struct {
+	net.Conn
+	transferred atomic.Int64
+}
+
+func (c *streamConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.transferred.Add(int64(n))
+	return n, err
+}
+
+func (c *streamConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.transferred.Add(int64(n))
+	return n, err
+}
+
+func newStream(raw net.Conn) *Stream {
+	conn := &streamConn{Conn: raw}
 	r := readerPool.Get().(*bufio.Reader)
 	r.Reset(conn)
 	w := writerPool.Get().(*bufio.Writer)
@@ -50,6 +70,11 @@
 	_ = s.conn.SetReadDeadline(pastDeadline)
 }
 
+// Transferred returns the number of bytes sent and received so far.
+func (s *Stream) Transferred() int64 {
+	return s.conn.transferred.Load()
+}
+
 // Bind aborts the stream when the context is done.
 func (s *Stream) Bind(ctx context.Context) {
 	s.unbind = context.AfterFunc(ctx, s.Abort)
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -54,7 +54,9 @@
 	balancer    *balance.Balancer
 	retryBudget RetryBudget
 	// linkPort is the port on which all nodes accept links.
-	linkPort    string
+	linkPort string
+	// dataCentre is this node's own.
+	dataCentre  string
 	answerSizes *answerSizes
 	// answerTimes predicts how long a request takes; drain holds the time until which this
 	// node delivers answers while it is stopping.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"boragefall/internal/balance"
 	"boragefall/internal/catalog"
 	"boragefall/internal/config"
+	"boragefall/internal/contract"
 	"boragefall/internal/control"
 	"boragefall/internal/copytree"
 	"boragefall/internal/exchange"
@@ -33,6 +34,7 @@
 	"boragefall/internal/serverconn"
 	"boragefall/internal/settings"
 	"boragefall/internal/telemetry"
+	"boragefall/internal/transfer"
 )
 
 const (
@@ -237,7 +239,7 @@
 	return &peerDirectory{
 		Selector: copytree.NewSelector(copytree.Member{Address: s.LinkListen, DataCentre: s.DataCentre}, s.Peers),
 		view:     c.View, self: s.LinkListen, linkPort: port, service: s.Service,
-		control: control.NewClient(d.control), logger: logger,
+		control: control.NewClient(d.control), dataCentre: s.DataCentre, logger: logger,
 	}, nil
 }
 
@@ -261,10 +263,19 @@
 }
 
 func newDispatcher(s settings.Settings, platform Platform, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, state *nodeState, logger *log.Logger) *Dispatcher {
+	requests := exchange.NewClient(d.requests)
+	requests.ObserveTransfers(func(r *contract.Request, u transfer.Usage) {
+		if r.CrossesDataCentres {
+			u.Nested = hop.runs.parent(r.ID) != nil
+			n.transfers.RecordRequest(u)
+		}
+	})
 	return &Dispatcher{
+		dataCentre: s.DataCentre,
+
 		hop: hop, view: c.View, balancer: balance.New(s.DataCentre, rand.Float64), linkPort: n.linkPort, answerSizes: newAnswerSizes(), logger: logger, meter: m,
 		headers: platform.Headers, markLeaving: c.MarkLeaving,
-		peers:       linkPeers{Client: exchange.NewClient(d.requests), links: d.requests, control: n.control},
+		peers:       linkPeers{Client: requests, links: d.requests, control: n.control},
 		retryBudget: RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		answerTimes: newAnswerTimes(), drain: &state.drain,
 	}
@@ -350,7 +361,7 @@
 	})
 }
 
-func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, f *feed.Feed, client *serverconn.Client, logger *log.Logger) {
+func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, peers *peerDirectory, f *feed.Feed, client *serverconn.Client, logger *log.Logger) {
 	m.Gauge("gate_running", "Requests that the server beside this node runs.", func() float64 { return float64(hop.Load().Running) })
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().ServiceTime.Seconds() })
@@ -369,6 +380,10 @@
 		}
 		return -1
 	})
+	for _, kind := range transfer.Kinds() {
+		m.LabelledCounter("datacentre_bytes_total", "Bytes exchanged with nodes of other data centres on requests and state queries that this node sent, by kind.",
+			"kind", kind.String(), func() float64 { return float64(peers.transfers.Bytes(kind)) })
+	}
 	m.Gauge("quarantined_requests", "Requests that are refused because servers crashed while they ran them.", func() float64 {
 		return float64(len(hop.crashes.quarantinedRequests(time.Now())))
 	})
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -18,6 +18,7 @@
 	"boragefall/internal/exchange"
 	"boragefall/internal/feed"
 	"boragefall/internal/link"
+	"boragefall/internal/transfer"
 	"boragefall/internal/wire"
 )
 
@@ -33,7 +34,10 @@
 	linkPort string
 	service  string
 	control  *control.Client
-	logger   *log.Logger
+	// dataCentre is this node's own; transfers counts bytes to and from others.
+	dataCentre string
+	transfers  transfer.Meter
+	logger     *log.Logger
 }
 
 // addresses returns the link addresses of the nodes beside the servers that include
@@ -51,6 +55,20 @@
 	return out
 }
 
+// dataCentreOf returns the data centre of the node at a link address.
+func (n *peerDirectory) dataCentreOf(address string) (string, bool) {
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", false
+	}
+	for _, l := range n.view().Servers {
+		if l.IP() == ip {
+			return l.DataCentre, true
+		}
+	}
+	return "", false
+}
+
 // serviceNodes returns the link addresses of the other nodes beside servers of this node's
 // service.
 func (n *peerDirectory) serviceNodes() []string {
@@ -78,6 +96,9 @@
 	if err != nil {
 		return feed.PeerState{}, err
 	}
+	if place, known := n.dataCentreOf(address); known && place != n.dataCentre {
+		n.transfers.RecordState(int64(proto.Size(query) + proto.Size(answer)))
+	}
 	items, err := decodeState(answer)
 	if err != nil {
 		return feed.PeerState{}, err
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -168,6 +168,7 @@
 	outgoing.Deadline = t.dispatcher.drain.limit(t.request.Deadline)
 	outgoing.Server = string(listing.ID)
 	outgoing.HostListRevision = listing.Revision
+	outgoing.CrossesDataCentres = listing.DataCentre != t.dispatcher.dataCentre
 	outgoing.RateLimit = t.dispatcher.balancer.RateLimit(listing.ID)
 	outgoing.Attempt = t.attempts + t.serverRefusals
 	t.running++
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -84,6 +84,13 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// LabelledCounter registers a counter with one label, whose value is read on each scrape.
+func (m *Metrics) LabelledCounter(name, help, label, value string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value},
+	}, read))
+}
+
 // Counter registers a counter whose value is read on each scrape.
 func (m *Metrics) Counter(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
