Reserve link capacity for large answers before their requests run

Cause: the pacer reserved capacity only when the server had answered, so requests in progress were not counted and all downloads queued until all were late.

A gate reserves capacity at admission, refuses at once when the answer would be late, releases or corrects the reservation, and writes large answers in parts. Entries get the queue and the rate with each load report and skip gates whose link would make the answer late.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -30,6 +30,10 @@
 	// vary.
 	lateCost      = 5 * time.Second
 	lateThreshold = 0.8
+	// answerReserveShare is the share of the time until the objective by which a large
+	// answer is to be sent earlier. It is the largest that gates use, so that a gate which
+	// is skipped for lack of link capacity would have refused the request.
+	answerReserveShare = 1.0 / 3
 	// dataCentreRoundTrip is the network round-trip time between data centres.
 	dataCentreRoundTrip = 2 * time.Millisecond
 	// defaultServiceTime is the service time assumed for a server before any is known.
@@ -112,7 +116,10 @@
 	load          contract.Load
 	loadAt        time.Time
 	sentSinceLoad int
-	ejectedUntil  time.Time
+	// answerBytesSinceLoad is the expected size of the large answers to the requests sent
+	// since the last load report.
+	answerBytesSinceLoad int64
+	ejectedUntil         time.Time
 	// closedUntil is the time until which the gate refuses all requests.
 	closedUntil time.Time
 	// full holds, by class, for how long the gate refuses requests.
@@ -157,7 +164,8 @@
 		if slices.Contains(r.Excluded, l.ID) {
 			continue
 		}
-		if wait := b.stateOf(l.ID, now).refusal(r.Class, now); wait > 0 {
+		s := b.stateOf(l.ID, now)
+		if wait := max(s.refusal(r.Class, now), s.answerExcess(r, now)); wait > 0 {
 			if retryIn == 0 || wait < retryIn {
 				retryIn = wait
 			}
@@ -177,6 +185,9 @@
 	}
 	s.outstanding++
 	s.sentSinceLoad++
+	if r.AnswerBytes >= contract.LargeAnswerBytes {
+		s.answerBytesSinceLoad += r.AnswerBytes
+	}
 	s.tokens = max(s.tokens-1, 0)
 	return best, 0
 }
@@ -229,7 +240,7 @@
 		return
 	}
 	s.recordDelay(delay, now)
-	s.load, s.loadAt, s.sentSinceLoad, s.silentSince = *load, now, 0, now
+	s.load, s.loadAt, s.sentSinceLoad, s.answerBytesSinceLoad, s.silentSince = *load, now, 0, 0, now
 	if load.ServiceTime > 0 {
 		s.serviceTime = load.ServiceTime
 	}
@@ -337,8 +348,9 @@
 	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.LocalAddress {
 		cost += s.load.BodyQueueDelay.Seconds()*decay(age, loadDecay) + float64(r.BodyBytes)/float64(s.load.BodyRate)
 	}
-	if s.load.BodyRate > 0 && r.AnswerBytes >= contract.LargeAnswerBytes {
-		cost += s.load.AnswerQueueDelay.Seconds()*decay(age, loadDecay) + float64(r.AnswerBytes)/float64(s.load.BodyRate)
+	if transfer := s.answerTransferTime(r); transfer > 0 {
+		// The answers reserved so far are sent while the request waits and runs.
+		cost = max(cost, s.answerQueueDelay(now).Seconds()) + transfer.Seconds()
 	}
 	cost += s.expectedDelay(now).Seconds()
 	if r.Objective > 0 && cost > lateThreshold*r.Objective.Seconds() {
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -43,9 +43,11 @@
 	// arrived. BodyRate is their transfer rate in bytes per second; 0 means unknown.
 	BodyQueueDelay time.Duration
 	BodyRate       int64
-	// AnswerQueueDelay is the time until the large answers scheduled so far have been
-	// sent.
+	// AnswerQueueDelay is the time until the large answers for which link capacity is
+	// reserved have been sent, also those of requests that are queued or running.
+	// AnswerRate is the rate at which they are sent in bytes per second; 0 means unknown.
 	AnswerQueueDelay time.Duration
+	AnswerRate       int64
 	// RateLimit is the request rate that the server accepts, and StartWait the time until
 	// the gate may start one more request because of it.
 	RateLimit RateLimit
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -171,6 +171,7 @@
 		FailureRate:      float64(l.GetFailingPermille()) / permille,
 		BodyQueueDelay:   decodeMicros(l.GetBodyWaitMicros()),
 		AnswerQueueDelay: decodeMicros(l.GetAnswerWaitMicros()),
+		AnswerRate:       int64(l.GetAnswerKilobytesPerSecond()) << 10,
 		BodyRate:         int64(l.GetBodyKilobytesPerSecond()) << 10,
 		RateLimit:        decodeRateLimit(l.RateLimit),
 		StartWait:        decodeMicros(l.GetStartWaitMicros()),
@@ -179,17 +180,18 @@
 
 func encodeLoad(l contract.Load) *wire.Load {
 	return &wire.Load{
-		Running:                uint32(max(l.Running, 0)),
-		Queued:                 uint32(max(l.Queued, 0)),
-		Limit:                  uint32(max(l.Limit, 0)),
-		State:                  uint32(l.State),
-		ServiceMicros:          encodeMicros(l.ServiceTime),
-		FailingPermille:        uint32(l.FailureRate * permille),
-		BodyWaitMicros:         encodeMicros(l.BodyQueueDelay),
-		AnswerWaitMicros:       encodeMicros(l.AnswerQueueDelay),
-		BodyKilobytesPerSecond: uint32(min(max(l.BodyRate>>10, 0), math.MaxUint32)),
-		RateLimit:              encodeRateLimit(l.RateLimit),
-		StartWaitMicros:        encodeMicros(l.StartWait),
+		Running:                  uint32(max(l.Running, 0)),
+		Queued:                   uint32(max(l.Queued, 0)),
+		Limit:                    uint32(max(l.Limit, 0)),
+		State:                    uint32(l.State),
+		ServiceMicros:            encodeMicros(l.ServiceTime),
+		FailingPermille:          uint32(l.FailureRate * permille),
+		AnswerKilobytesPerSecond: uint32(min(max(l.AnswerRate>>10, 0), math.MaxUint32)),
+		BodyWaitMicros:           encodeMicros(l.BodyQueueDelay),
+		AnswerWaitMicros:         encodeMicros(l.AnswerQueueDelay),
+		BodyKilobytesPerSecond:   uint32(min(max(l.BodyRate>>10, 0), math.MaxUint32)),
+		RateLimit:                encodeRateLimit(l.RateLimit),
+		StartWaitMicros:          encodeMicros(l.StartWait),
 	}
 }
 
--- a/internal/link/unsent.go
+++ b/internal/link/unsent.go
@@ -52,3 +52,28 @@
 	}
 	return true
 }
+
+// UnsentBytes returns the bytes written to the links of a class that their peers have not
+// acknowledged.
+func (l *Listener) UnsentBytes(class Class) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := int64(0)
+	for _, accepted := range l.sessions {
+		if accepted.class == class {
+			sum += accepted.conn.unsentBytes()
+		}
+	}
+	return sum
+}
+
+// unsentBytes returns the bytes that wait here or in the kernel; a batch that is being
+// written counts once the kernel has taken it.
+func (c *coalescingConn) unsentBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil || c.closed {
+		return 0
+	}
+	return int64(len(c.pending) + unackedBytes(c.Conn))
+}
--- a/internal/sidecar/answersizes.go
+++ b/internal/linkbudget/sizes.go
@@ -1,4 +1,4 @@
-package sidecar
+package linkbudget
 
 import (
 	"sync"
@@ -15,23 +15,24 @@
 	answerSizeWeight = 0.1
 )
 
-// answerSizes estimates the size of each route's answers, since traffic between data
+// Sizes estimates the size of each route's answers, since traffic between data
 // centres is billed. It is safe for concurrent use.
-type answerSizes struct {
+type Sizes struct {
 	mu        sync.Mutex
 	meanBytes *simplelru.LRU[string, float64]
 }
 
-func newAnswerSizes() *answerSizes {
+// NewSizes returns estimates of unknown routes.
+func NewSizes() *Sizes {
 	means, err := simplelru.NewLRU[string, float64](maxTrackedRoutes, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1
 	}
-	return &answerSizes{meanBytes: means}
+	return &Sizes{meanBytes: means}
 }
 
-// estimate returns the expected size of a route's answer in bytes.
-func (a *answerSizes) estimate(route string) int64 {
+// Estimate returns the expected size of a route's answer in bytes.
+func (a *Sizes) Estimate(route string) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if mean, ok := a.meanBytes.Get(route); ok {
@@ -40,8 +41,8 @@
 	return defaultAnswerBytes
 }
 
-// observe records the size of an answer in bytes.
-func (a *answerSizes) observe(route string, bytes int64) {
+// Observe records the size of an answer in bytes.
+func (a *Sizes) Observe(route string, bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	mean, ok := a.meanBytes.Get(route)
--- a/internal/sidecar/answertimes.go
+++ b/internal/linkbudget/times.go
@@ -1,4 +1,4 @@
-package sidecar
+package linkbudget
 
 import (
 	"sync"
@@ -16,9 +16,9 @@
 	answerTimeDeviations = 4
 )
 
-// answerTimes estimates how long each route's requests take at most, as TCP estimates its
+// Times estimates how long each route's requests take at most, as TCP estimates its
 // retransmission timeout. It is safe for concurrent use.
-type answerTimes struct {
+type Times struct {
 	mu     sync.Mutex
 	routes *simplelru.LRU[string, answerTime]
 }
@@ -27,25 +27,26 @@
 	mean, deviation time.Duration
 }
 
-func newAnswerTimes() *answerTimes {
+// NewTimes returns estimates of unknown routes.
+func NewTimes() *Times {
 	routes, err := simplelru.NewLRU[string, answerTime](maxTrackedRoutes, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1
 	}
-	return &answerTimes{routes: routes}
+	return &Times{routes: routes}
 }
 
-// estimate returns the time in which a route's request is expected to be answered; false
+// Estimate returns the time in which a route's request is expected to be answered; false
 // if none was answered so far.
-func (a *answerTimes) estimate(route string) (time.Duration, bool) {
+func (a *Times) Estimate(route string) (time.Duration, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known, ok := a.routes.Get(route)
 	return known.mean + answerTimeDeviations*known.deviation, ok
 }
 
-// observe records how long a request took.
-func (a *answerTimes) observe(route string, took time.Duration) {
+// Observe records how long a request took.
+func (a *Times) Observe(route string, took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known, ok := a.routes.Get(route)
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -11,6 +11,7 @@
 	"boragefall/internal/balance"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/retry"
@@ -55,10 +56,10 @@
 	retryBudget RetryBudget
 	// linkPort is the port on which all nodes accept links.
 	linkPort    string
-	answerSizes *answerSizes
+	answerSizes *linkbudget.Sizes
 	// answerTimes predicts how long a request takes; drain holds the time until which this
 	// node delivers answers while it is stopping.
-	answerTimes *answerTimes
+	answerTimes *linkbudget.Times
 	drain       *drainEnd
 	headers     protocol.NoticeReader
 	// markLeaving records that a server stated that it leaves.
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -19,6 +19,7 @@
 	"boragefall/internal/contract"
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
+	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
@@ -144,8 +145,8 @@
 	}
 	w := &dispatcherFixture{WithT: NewWithT(t), peers: &fakePeers{fence: func(string) (bool, error) { return true, nil }}}
 	w.dispatcher = &Dispatcher{
-		answerTimes: newAnswerTimes(), drain: &drainEnd{},
-		answerSizes: newAnswerSizes(),
+		answerTimes: linkbudget.NewTimes(), drain: &drainEnd{},
+		answerSizes: linkbudget.NewSizes(),
 		headers:     platform.Headers{}, markLeaving: replica.MarkLeaving,
 		hop: hop, view: replica.View, peers: w.peers, balancer: balance.New("north", rand.Float64),
 		retryBudget: RetryBudget{Ratio: 0.2, Slack: float64(4 * servers)}, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
--- a/internal/sidecar/drainend_test.go
+++ b/internal/sidecar/drainend_test.go
@@ -75,17 +75,3 @@
 	w.Expect(w.dispatcher.isNestedCall("9c42.1")).To(BeFalse())
 	w.Expect(w.dispatcher.isNestedCall("9c41")).To(BeFalse())
 }
-
-func TestAnswerTimesCoverTheirSpread(t *testing.T) {
-	g := NewWithT(t)
-	times := newAnswerTimes()
-	_, known := times.estimate("upload")
-	g.Expect(known).To(BeFalse())
-	for i := range 100 {
-		times.observe("upload", 700*time.Millisecond+time.Duration(i%3)*100*time.Millisecond)
-	}
-	estimate, known := times.estimate("upload")
-	g.Expect(known).To(BeTrue())
-	g.Expect(estimate).To(BeNumerically(">=", 900*time.Millisecond))
-	g.Expect(estimate).To(BeNumerically("<", 1400*time.Millisecond))
-}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -251,7 +251,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if a.Status < http.StatusMultipleChoices {
-		x.entry.Dispatcher.answerSizes.observe(x.request.Route, size)
+		x.entry.Dispatcher.answerSizes.Observe(x.request.Route, size)
 	}
 	x.entry.Meter.Answered(x.request.Route, a.Status, time.Since(x.started))
 	message := decisions.MessagePassed
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -54,10 +54,8 @@
 	prober  *prober
 	crashes *crashTracker
 	bodies  *bodyReceiver
-	// answerPacer paces large answers on the outbound link; answerSizes predicts which
-	// answers are large.
-	answerPacer  *answerPacer
-	answerSizes  *answerSizes
+	// answers reserves capacity of the outbound link for large answers.
+	answers      *answerBudget
 	coldLimit    ColdStartLimit
 	markLeaving  func(*mesh.Server)
 	drain        *drainEnd
@@ -88,17 +86,23 @@
 	stopping  bool
 }
 
-// LastHopConfig holds the dependencies of a LastHop. All fields are required.
+// LastHopConfig holds the dependencies of a LastHop. All fields except those of the link
+// are required.
 type LastHopConfig struct {
 	// Address is the backend server's address, IP:port.
 	Address string
 	// Service is the service of the backend server.
-	Service   string
-	View      func() *catalog.View
-	Client    backend
-	Crashes   *crashTracker
-	Bodies    *bodyReceiver
-	ColdLimit ColdStartLimit
+	Service string
+	View    func() *catalog.View
+	Client  backend
+	Crashes *crashTracker
+	Bodies  *bodyReceiver
+	// LinkMbps is the rate of the host's link in Mbit/s; 0 means that it is not known.
+	LinkMbps float64
+	// LinkBacklog returns the bytes that were written to links and not delivered yet; nil if
+	// that is not known.
+	LinkBacklog func() int64
+	ColdLimit   ColdStartLimit
 	// MarkLeaving records that a server stated that it leaves.
 	MarkLeaving func(*mesh.Server)
 	// Drain holds the time until which this node delivers answers while it is stopping.
@@ -140,7 +144,7 @@
 	h := &LastHop{
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
 		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, onFirstProbe: cfg.OnFirstProbe, logger: cfg.Logger, handedOverByID: handedOverByID,
-		gate: admission.NewGate(1, 0), answerPacer: &answerPacer{rate: cfg.Bodies.rate}, answerSizes: newAnswerSizes(),
+		gate: admission.NewGate(1, 0), answers: newAnswerBudget(cfg.LinkMbps, cfg.LinkBacklog, cfg.Logger),
 	}
 	h.prober = &prober{hop: h}
 	return h, nil
@@ -150,7 +154,7 @@
 func (h *LastHop) Load() contract.Load {
 	load := h.gate.Load()
 	load.BodyQueueDelay, load.BodyRate = h.bodies.queueDelay(), h.bodies.rate
-	load.AnswerQueueDelay = h.answerPacer.queueDelay(time.Now())
+	h.answers.report(&load)
 	return load
 }
 
@@ -164,12 +168,13 @@
 		Class: r.Route, Priority: r.Rank, Deadline: r.Deadline, Objective: r.Objective, AllowDelay: r.AllowDelay,
 		HasPriorWork: r.HasPriorWork, Hedge: r.Hedge,
 	}
-	if size := h.answerSizes.estimate(r.Route); size >= contract.LargeAnswerBytes {
-		// The answer's transit takes as long as sending the answers queued before it,
-		// plus its own transfer.
-		answerDelay := h.answerPacer.queueDelay(time.Now()) + h.answerPacer.transferTime(size)
-		admissionRequest.Objective, admissionRequest.Deadline = r.Objective.Add(-answerDelay), r.Deadline.Add(-answerDelay)
+	reservation, refusal := h.answers.reserve(r, h.gate.ExpectedServiceTime(r.Route))
+	if refusal != nil {
+		h.answers.logRefusal(h.logger, r, refusal)
+		return nil, refusal
 	}
+	defer reservation.release()
+	admissionRequest.Objective, admissionRequest.Deadline = r.Objective.Add(-reservation.transferTime), r.Deadline.Add(-reservation.transferTime)
 	bodyPending := !r.BodyBuffered && r.ContentLength > 0
 	if bodyPending {
 		bodyDelay := h.bodies.queueDelay() + h.bodies.transferTime(r.ContentLength)
@@ -198,7 +203,7 @@
 		h.logRefusal(r, refusal)
 		return nil, refusal
 	}
-	return h.send(ctx, r, permit)
+	return h.send(ctx, r, permit, reservation)
 }
 
 func (h *LastHop) logRefusal(r *contract.Request, e *verdict.Error) {
@@ -298,7 +303,7 @@
 	return false
 }
 
-func (h *LastHop) send(ctx context.Context, r *contract.Request, permit *admission.Permit) (*contract.Answer, error) {
+func (h *LastHop) send(ctx context.Context, r *contract.Request, permit *admission.Permit, reservation *answerReservation) (*contract.Answer, error) {
 	if !h.markHandedOver(r.ID) {
 		permit.Release()
 		return nil, verdict.Refuse(verdict.ReasonFenced, shortRetryAfter)
@@ -318,7 +323,7 @@
 		h.observeNotice(answer.ServerResponse, listing, sentAt)
 	}
 	h.observeRun(r, answer, sentAt)
-	return h.handleAnswer(ctx, r, permit, answer)
+	return h.handleAnswer(ctx, r, permit, reservation, answer, time.Since(sentAt))
 }
 
 // observeRun records what an answer shows about crashes of the server.
@@ -358,7 +363,7 @@
 
 // handleAnswer forwards an answer. If the server refused the request itself, it returns
 // a verdict instead, so that another server may be tried.
-func (h *LastHop) handleAnswer(ctx context.Context, r *contract.Request, permit *admission.Permit, a *serverconn.Answer) (*contract.Answer, error) {
+func (h *LastHop) handleAnswer(ctx context.Context, r *contract.Request, permit *admission.Permit, reservation *answerReservation, a *serverconn.Answer, took time.Duration) (*contract.Answer, error) {
 	if a.ServerResponse.NotExecuted {
 		// Proof: the server itself states that it did not run the request.
 		_ = a.Body.Close() // the body is not forwarded
@@ -384,13 +389,10 @@
 	} else {
 		a.Body = &permitBody{ReadCloser: a.Body, permit: permit, failed: failed}
 	}
-	if !failed && a.ContentLength >= 0 {
-		h.answerSizes.observe(r.Route, a.ContentLength)
-	}
-	if a.ContentLength >= contract.LargeAnswerBytes {
-		wait := h.answerPacer.reserve(a.ContentLength, time.Now())
-		a.Body = &pacedBody{ReadCloser: a.Body, ctx: ctx, delay: wait}
+	if !failed {
+		h.answers.observe(r.Route, a.ContentLength, took)
 	}
+	a.Body = reservation.send(ctx, r, &a.Answer)
 	a.Load = h.Load()
 	return &a.Answer, nil
 }
--- a/internal/sidecar/lasthop_test.go
+++ b/internal/sidecar/lasthop_test.go
@@ -52,7 +52,7 @@
 		ColdLimit: ColdStartLimit{Overshoot: 1.5},
 		Address:   "10.0.0.2:8000", Service: "orders", View: func() *catalog.View { return view }, Crashes: crashes,
 		Client: serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: "127.0.0.1:1"}), platform.Headers{}),
-		Bodies: newBodyReceiver(27, 128), MarkLeaving: func(*mesh.Server) {}, Logger: telemetry.Silent(),
+		Bodies: newBodyReceiver(27, 128), LinkMbps: 27, MarkLeaving: func(*mesh.Server) {}, Logger: telemetry.Silent(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/linkserver.go
+++ b/internal/sidecar/linkserver.go
@@ -26,6 +26,14 @@
 	return listener == nil || listener.AllDelivered(link.ClassRequest)
 }
 
+// unsentBytes returns the bytes of answers that other nodes have not acknowledged.
+func (s *linkServer) unsentBytes() int64 {
+	if listener := s.listener.Load(); listener != nil {
+		return listener.UnsentBytes(link.ClassRequest)
+	}
+	return 0
+}
+
 func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, links *linkServer, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.StartStopHook(func() error {
--- /dev/null
+++ b/internal/sidecar/loadlink_test.go
@@ -0,0 +1,139 @@
+package sidecar
+
+import (
+	"io"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// loadLink simulates the outbound link of a host, with a send buffer that all its
+// connections share.
+type loadLink struct {
+	mbps float64
+
+	mu     sync.Mutex
+	freeAt time.Time
+	// sentBytes counts the bytes of answers.
+	sentBytes int64
+}
+
+// sendBufferBytes is the size of the send buffer.
+const sendBufferBytes = 256 << 10
+
+// packetShare is the share of a link that is left after the headers of packets.
+const packetShare = 0.96
+
+func (l *loadLink) bytesPerSecond() float64 { return packetShare * l.mbps * 1e6 / bitsPerByte }
+
+// write adds bytes to the send buffer and returns when they have arrived. It blocks while
+// the buffer is full.
+func (l *loadLink) write(n int) (arriveAt time.Time) {
+	now := time.Now()
+	l.mu.Lock()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond() * float64(time.Second)))
+	l.sentBytes += int64(n)
+	arriveAt = l.freeAt
+	l.mu.Unlock()
+	time.Sleep(time.Until(arriveAt) - time.Duration(sendBufferBytes/l.bytesPerSecond()*float64(time.Second)))
+	return arriveAt
+}
+
+// backlog returns the bytes in the send buffer.
+func (l *loadLink) backlog() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(max(time.Until(l.freeAt), 0).Seconds() * l.bytesPerSecond())
+}
+
+// linkBody is an answer's body that is sent over a link.
+type linkBody struct {
+	io.ReadCloser
+	link     *loadLink
+	arriveAt time.Time
+}
+
+// Read sends what it reads; the end is read when all of it has arrived.
+func (b *linkBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.link.mbps > 0 {
+		b.arriveAt = b.link.write(n)
+	}
+	if err != nil {
+		time.Sleep(time.Until(b.arriveAt))
+	}
+	return n, err
+}
+
+// zeroReader is an endless body.
+type zeroReader struct{}
+
+// Read fills p with zeros.
+func (zeroReader) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// sampleBytes draws the size of an answer around a mean, up to six times as large.
+func (l *lockedRandom) sampleBytes(mean float64) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	const sigma, largest = 0.6, 6
+	return int64(mean * min(math.Exp(sigma*l.r.NormFloat64()-sigma*sigma/2), largest))
+}
+
+// downloadScenario is the measured load: five servers whose links of 20 Mbit/s carry 139
+// downloads a second, and calls with small answers.
+func downloadScenario(perSecond, mbps float64) ([]loadService, map[string]loadRoute) {
+	entries := make([]float64, 20)
+	for i := range entries {
+		entries[i] = 1
+	}
+	return []loadService{
+			{name: "files", slots: 14, speeds: []float64{0.8, 0.9, 1, 1.1, 1.2}, linkMbps: mbps},
+			{name: "entries", slots: 14, speeds: entries},
+		}, map[string]loadRoute{
+			"download": {
+				service: "files", perSecond: perSecond, work: 110 * time.Millisecond, objective: 600 * time.Millisecond,
+				deadline: 2 * time.Second, priority: 1, idempotent: true, answerBytes: 90_000,
+			},
+			"status": {
+				service: "files", perSecond: 320, work: 40 * time.Millisecond, objective: 150 * time.Millisecond,
+				deadline: 500 * time.Millisecond, priority: 2, idempotent: true, answerBytes: 1_000,
+			},
+		}
+}
+
+// Guards against answers that are all late: with downloads for 1.14 to 1.4 times the links,
+// the pacer that reserved capacity only when the server had answered let all of them queue
+// until they were late. Nine tenths of what the links carry must be on time, and calls with
+// small answers as before.
+func TestDownloadsBeyondTheLinksAreOnTimeUpToTheirCapacity(t *testing.T) {
+	for _, perSecond := range []float64{158, 186} {
+		g := NewWithT(t)
+		const length, mbps = 20 * time.Second, 20
+		services, routes := downloadScenario(perSecond, mbps)
+		w := simulateLoad(t, loadScenario{services: services, routes: routes, phases: []loadPhase{{length, 1}}})
+		carried := 0.0
+		for _, n := range w.nodes {
+			carried += n.link.bytesPerSecond()
+		}
+		carried -= routes["status"].perSecond * routes["status"].answerBytes
+		capacity := carried / routes["download"].answerBytes * length.Seconds()
+		downloads, statuses := w.tallies["download"], w.tallies["status"]
+		attempts := 0
+		for _, n := range w.nodes {
+			attempts += n.attempts
+		}
+		runs, wasted := w.runs("files")
+		t.Logf("%.0f a second: %v, the links carry %.0f; calls %v; %d attempts, %d runs, %d wasted", perSecond, downloads, capacity, statuses, attempts, runs, wasted)
+		g.Expect(float64(downloads.onTime)).To(BeNumerically(">=", 0.9*capacity))
+		g.Expect(statuses.onTime).To(BeNumerically(">=", statuses.sent*95/100))
+	}
+}
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -11,6 +11,7 @@
 
 	"boragefall/internal/balance"
 	"boragefall/internal/contract"
+	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/serverconn"
@@ -29,6 +30,7 @@
 	hop           *LastHop
 	dispatcher    *Dispatcher
 	callerRetries *callerRetries
+	link          loadLink
 
 	mu sync.Mutex
 	// runs counts the requests that the server ran, wasted those of them without
@@ -55,7 +57,8 @@
 	n.hop, err = NewLastHop(LastHopConfig{
 		StaleCopy: func(time.Time) bool { return false }, OnFirstProbe: func() {}, Drain: &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5}, Address: n.id + ":8000", Service: n.service, View: n.simulation.catalog.View,
-		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(0, 0),
+		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(n.link.mbps, 128),
+		LinkMbps: n.link.mbps, LinkBacklog: n.link.backlog,
 		MarkLeaving: n.simulation.catalog.MarkLeaving,
 	})
 	if err != nil {
@@ -63,8 +66,8 @@
 	}
 	n.callerRetries = newCallerRetries()
 	n.dispatcher = &Dispatcher{
-		answerTimes: newAnswerTimes(), drain: &drainEnd{},
-		headers: platform.Headers{}, markLeaving: n.simulation.catalog.MarkLeaving, answerSizes: newAnswerSizes(), hop: n.hop, view: n.simulation.catalog.View, peers: n.simulation, balancer: balance.New("north", n.simulation.random.float),
+		answerTimes: linkbudget.NewTimes(), drain: &drainEnd{},
+		headers: platform.Headers{}, markLeaving: n.simulation.catalog.MarkLeaving, answerSizes: linkbudget.NewSizes(), hop: n.hop, view: n.simulation.catalog.View, peers: n.simulation, balancer: balance.New("north", n.simulation.random.float),
 		retryBudget: loadBudget, linkPort: "9000", logger: telemetry.Silent(), meter: fakeMeter{},
 	}
 	n.simulation.catalog.OnChange(n.hop.Update)
@@ -117,7 +120,12 @@
 	if status != http.StatusOK {
 		n.wasted++
 	}
-	return serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice}), nil
+	answer := serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice})
+	if route.answerBytes > 0 && status == http.StatusOK {
+		answer.ContentLength = n.simulation.random.sampleBytes(route.answerBytes)
+		answer.Body = io.NopCloser(io.LimitReader(zeroReader{}, answer.ContentLength))
+	}
+	return answer, nil
 }
 
 // state makes the server state something about itself in its answers from now on.
@@ -182,7 +190,12 @@
 		}
 		return http.StatusBadGateway, 0
 	}
-	_ = answer.Body.Close() // nothing is read of it
+	size, err2 := io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close() // read to its end, or broken off
+	if err2 != nil {
+		return http.StatusBadGateway, 0
+	}
+	n.dispatcher.answerSizes.Observe(name, size)
 	if answer.Status >= http.StatusInternalServerError {
 		n.callerRetries.recordUnanswered(fingerprint, firstAt, deadline)
 	}
--- a/internal/sidecar/loadworld_test.go
+++ b/internal/sidecar/loadworld_test.go
@@ -49,6 +49,8 @@
 	calls     int
 	callShare float64
 	callRoute string
+	// answerBytes is the mean size of the answers.
+	answerBytes float64
 }
 
 // loadService is a group of servers of a scenario.
@@ -56,6 +58,8 @@
 	name   string
 	slots  int
 	speeds []float64
+	// linkMbps is the rate of each host's link; 0 means that nothing is sent over links.
+	linkMbps float64
 }
 
 // loadTally counts the results of one route's callers.
@@ -120,7 +124,7 @@
 		for i, speed := range service.speeds {
 			id := fmt.Sprintf("10.0.%d.%d", s, i+2)
 			items = append(items, catalog.Item{Key: id, Revision: uint64(len(items) + 1), Value: fmt.Appendf(nil, "%s %d", service.name, service.slots)})
-			w.nodes = append(w.nodes, &loadNode{simulation: w, id: id, service: service.name, slots: service.slots, speed: speed})
+			w.nodes = append(w.nodes, &loadNode{simulation: w, id: id, service: service.name, slots: service.slots, speed: speed, link: loadLink{mbps: service.linkMbps}})
 		}
 	}
 	for name, r := range routes {
@@ -167,6 +171,9 @@
 	answer, err := n.hop.Run(ctx, r)
 	held := time.Since(arrivedAt)
 	time.Sleep(linkLatency + lag)
+	if answer != nil {
+		answer.Body = &linkBody{ReadCloser: answer.Body, link: &n.link}
+	}
 	if err != nil {
 		return &contract.Answer{Load: n.hop.Load(), GateTime: held}, err
 	}
@@ -245,7 +252,8 @@
 	route := w.routes[name]
 	first := time.Now()
 	deadline := first.Add(route.deadline)
-	node := w.nodes[int(w.random.float()*float64(len(w.nodes)))]
+	entries := w.entries()
+	node := entries[int(w.random.float()*float64(len(entries)))]
 	fingerprint := uint64(w.random.float() * math.MaxUint32)
 	status, retryAfter := node.sendAttempt(name, fingerprint, deadline)
 	if status == http.StatusServiceUnavailable && retryAfter <= time.Until(deadline)/3 || route.idempotent && status >= http.StatusInternalServerError {
@@ -273,6 +281,18 @@
 	}
 }
 
+// entries returns the nodes to which callers are connected: with simulated links, those
+// without one, so that all answers cross a link.
+func (w *loadSimulation) entries() []*loadNode {
+	var entries []*loadNode
+	for _, n := range w.nodes {
+		if n.link.mbps == 0 {
+			entries = append(entries, n)
+		}
+	}
+	return entries
+}
+
 // generateLoad starts callers for a time, at a multiple of their rates.
 func (w *loadSimulation) generateLoad(length time.Duration, rateFactor float64) {
 	end := time.Now().Add(length)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,6 +27,7 @@
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
 	"boragefall/internal/link"
+	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/quota"
@@ -252,21 +253,22 @@
 	return serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Backend}), p.Headers)
 }
 
-func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, notices *crashSync, state *nodeState, logger *log.Logger) (*LastHop, error) {
+func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, notices *crashSync, state *nodeState, links *linkServer, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
 		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, OnFirstProbe: notices.fetch, Logger: logger,
 		StaleCopy: func(now time.Time) bool { return store.Age(now) > s.ConfigPropagationLimit },
-		Bodies:    newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
+		LinkMbps:  s.LinkMbps, LinkBacklog: links.unsentBytes,
+		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 }
 
 func newDispatcher(s settings.Settings, platform Platform, c *catalog.Catalog, hop *LastHop, d dialers, n *peerDirectory, m *telemetry.Metrics, state *nodeState, logger *log.Logger) *Dispatcher {
 	return &Dispatcher{
-		hop: hop, view: c.View, balancer: balance.New(s.DataCentre, rand.Float64), linkPort: n.linkPort, answerSizes: newAnswerSizes(), logger: logger, meter: m,
+		hop: hop, view: c.View, balancer: balance.New(s.DataCentre, rand.Float64), linkPort: n.linkPort, answerSizes: linkbudget.NewSizes(), logger: logger, meter: m,
 		headers: platform.Headers, markLeaving: c.MarkLeaving,
 		peers:       linkPeers{Client: exchange.NewClient(d.requests), links: d.requests, control: n.control},
 		retryBudget: RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-		answerTimes: newAnswerTimes(), drain: &state.drain,
+		answerTimes: linkbudget.NewTimes(), drain: &state.drain,
 	}
 }
 
@@ -355,6 +357,7 @@
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().ServiceTime.Seconds() })
 	m.Gauge("gate_failing_ratio", "Share of requests that the server failed lately.", func() float64 { return hop.Load().FailureRate })
+	hop.answers.registerMetrics(m)
 	m.Gauge("server_limit_per_second", "Request rate that the server beside this node states it accepts; -1 while it states none.", func() float64 {
 		if limit := hop.RateLimit(); limit.Stated {
 			return limit.PerSecond
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -141,7 +141,7 @@
 	view := t.dispatcher.view()
 	candidates := view.Usable[t.request.Service]
 	listing, fullFor := t.dispatcher.balancer.Choose(candidates, balance.Request{
-		BodyBytes: t.request.ContentLength, AnswerBytes: t.dispatcher.answerSizes.estimate(t.route.Name), Objective: t.request.Objective.Sub(now), LocalAddress: t.dispatcher.hop.address, Excluded: t.tried, Class: admissionClass(t.request),
+		BodyBytes: t.request.ContentLength, AnswerBytes: t.dispatcher.answerSizes.Estimate(t.route.Name), Objective: t.request.Objective.Sub(now), LocalAddress: t.dispatcher.hop.address, Excluded: t.tried, Class: admissionClass(t.request),
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Senders: len(view.Servers),
 	}, now)
 	if listing == nil && fullFor > 0 {
@@ -315,7 +315,7 @@
 		return t.finish()
 	}
 	t.dispatcher.meter.Attempted("answered")
-	t.dispatcher.answerTimes.observe(t.route.Name, res.took)
+	t.dispatcher.answerTimes.Observe(t.route.Name, res.took)
 	t.answeredBy = res.listing.ID
 	return res.answer, true, nil
 }
@@ -422,7 +422,7 @@
 // expectedTime returns the time in which an attempt is expected to be answered: the route's
 // objective until an answer was seen.
 func (t *task) expectedTime() time.Duration {
-	if estimate, ok := t.dispatcher.answerTimes.estimate(t.route.Name); ok {
+	if estimate, ok := t.dispatcher.answerTimes.Estimate(t.route.Name); ok {
 		return estimate
 	}
 	return t.route.Objective
