--- a/internal/linkbudget/link.go
+++ b/internal/linkbudget/link.go
@@ -28,8 +28,10 @@
 	// sent and small count the bytes of large and of small responses.
 	sent, small int64
 	refused     uint64
-	meanBytes   float64
-	timer       *time.Timer
+	// endedAt is when a response last ended.
+	endedAt   time.Time
+	meanBytes float64
+	timer     *time.Timer
 	// slow reports that the rate is below slowShare of the configured one; onSlow is called
 	// when that changes.
 	slow   bool
@@ -151,6 +153,7 @@
 	l.sent -= unsent
 	l.schedule.Refund(unsent)
 	l.schedule.Release(r)
+	l.endedAt = time.Now()
 	l.dispatch()
 }
 
@@ -161,6 +164,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.update()
+	if !l.schedule.Sending() {
+		l.meter.deliveries.recordIdle(now.Sub(later(l.schedule.freeAt, l.endedAt)))
+	}
 	if r == nil {
 		r = l.schedule.Force(stated)
 	}
@@ -205,13 +211,11 @@
 			l.wakeAt(now.Add(sampleInterval), now)
 			return
 		}
-		gap := now.Sub(l.schedule.freeAt)
 		r, bytes, again := l.schedule.Next(now)
 		if r == nil {
 			l.wakeAt(again, now)
 			return
 		}
-		l.meter.deliveries.recordIdle(gap, now)
 		l.sent += bytes
 		r.grant <- bytes
 	}
--- a/internal/linkbudget/link_test.go
+++ b/internal/linkbudget/link_test.go
@@ -189,13 +189,13 @@
 	for _, busy := range []bool{false, true} {
 		m, now, mark := NewRateMeter(configured), time.Unix(1000, 0), int64(0)
 		m.deliveries.record(mark, time.Millisecond, now)
-		for range 20 {
+		for range 60 {
 			now = now.Add(time.Duration(testAnswerBytes / half * float64(time.Second)))
 			mark += testAnswerBytes
 			m.deliveries.record(mark, 60*time.Millisecond, now)
 			if !busy {
 				now = now.Add(time.Second)
-				m.deliveries.recordIdle(time.Second, now)
+				m.deliveries.recordIdle(time.Second)
 			}
 		}
 		if busy {
--- a/internal/linkbudget/schedule.go
+++ b/internal/linkbudget/schedule.go
@@ -176,6 +176,11 @@
 	return slices.ContainsFunc(s.reservations, func(r *Reservation) bool { return r.waiting })
 }
 
+// Sending reports whether a response is being sent.
+func (s *Schedule) Sending() bool {
+	return slices.ContainsFunc(s.reservations, func(r *Reservation) bool { return r.started })
+}
+
 // Next grants the next part. It returns nil and the time at which to call it again while
 // the link is busy. It is called only if a response is waiting.
 func (s *Schedule) Next(now time.Time) (r *Reservation, bytes int64, again time.Time) {
