Don't take a wide link for busy

Cause: a fixed backlog of 32 KiB counted as a queue, but at 1,000 Mbit/s more is always on its way, so the link's rate would have been taken for its load. The counter of bytes sent went back when a part was not sent.

Change: the backlog of a busy link follows the configured rate; bytes are counted when a response ends.

--- a/internal/linkbudget/link.go
+++ b/internal/linkbudget/link.go
@@ -28,8 +28,10 @@
 	// sent and small count the bytes of large and of small responses.
 	sent, small int64
 	refused     uint64
-	// endedAt is when a response last ended.
+	// endedAt is when a response last ended, and finished counts the bytes sent of those that
+	// have.
 	endedAt   time.Time
+	finished  int64
 	meanBytes float64
 	timer     *time.Timer
 	// slow reports that the rate is below slowShare of the configured one; onSlow is called
@@ -62,8 +64,10 @@
 	// AnswersPerSecond is the number of large answers of the mean size that the link carries;
 	// 0 while there were none.
 	AnswersPerSecond float64
-	// Sent counts the bytes of large responses, Refused the refusals for lack of capacity.
-	Sent, Refused uint64
+	// Sent counts the bytes of large responses that have ended.
+	Sent int64
+	// Refused counts the refusals for lack of capacity.
+	Refused uint64
 }
 
 // Status returns the link's state.
@@ -78,7 +82,7 @@
 	return Status{
 		AnswersPerSecond: perSecond,
 		Delay:            l.schedule.Room(now), Rate: int64(l.schedule.rate), Bound: int64(l.meter.bound),
-		Reserved: l.schedule.Reserved(now), Sent: uint64(l.sent), Refused: l.refused,
+		Reserved: l.schedule.Reserved(now), Sent: l.finished, Refused: l.refused,
 	}
 }
 
@@ -137,12 +141,13 @@
 // Release frees the capacity of a response that is not sent. r may be nil.
 func (l *Link) Release(r *Reservation) {
 	if r != nil {
-		l.release(r, 0)
+		l.release(r, 0, 0)
 	}
 }
 
-// release frees a reservation and the granted bytes that were not sent.
-func (l *Link) release(r *Reservation, unsent int64) {
+// release frees a reservation and the granted bytes that were not sent. read is the number
+// of bytes of its response that were.
+func (l *Link) release(r *Reservation, unsent, read int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	select {
@@ -151,6 +156,7 @@
 	default:
 	}
 	l.sent -= unsent
+	l.finished += read
 	l.schedule.Refund(unsent)
 	l.schedule.Release(r)
 	l.endedAt = time.Now()
@@ -254,6 +260,8 @@
 	reservation *Reservation
 	// granted is the rest of the present part, unread that of the body; negative if unknown.
 	granted, unread int64
+	// read is the number of bytes read so far.
+	read int64
 	// sentMark is the number of bytes that the link had been given when the last part was
 	// granted, at sentAt.
 	sentMark int64
@@ -276,6 +284,7 @@
 	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.granted)])
 	b.granted -= int64(n)
 	b.unread -= int64(n)
+	b.read += int64(n)
 	return b.end(n, err)
 }
 
@@ -288,7 +297,7 @@
 }
 
 func (b *pacedBody) release() {
-	b.once.Do(func() { b.link.release(b.reservation, b.granted) })
+	b.once.Do(func() { b.link.release(b.reservation, b.granted, b.read) })
 }
 
 // Close releases the rest of the reservation.
--- a/internal/linkbudget/link_test.go
+++ b/internal/linkbudget/link_test.go
@@ -55,6 +55,7 @@
 			g.Expect(time.Since(started)).To(BeNumerically("~", time.Duration(position+1)*transfer, 2*l.TransferTime(maxPartBytes)+sendBurst))
 		}
 		g.Expect(l.Status().Reserved).To(BeZero())
+		g.Expect(l.Status().Sent).To(BeEquivalentTo(len(answers) * testAnswerBytes))
 		time.Sleep(time.Minute)
 		g.Expect(l.Status().Delay).To(BeZero())
 	})
@@ -164,6 +165,21 @@
 	g.Expect(m.Rate(now)).To(BeNumerically("~", (usableShare-0.1)*1e6, 0.01*1e6))
 }
 
+// Guards against a wide link that is taken for busy: at a rate of 1,000 Mbit/s some 100 KB
+// are always on their way, whatever the load.
+func TestWideLinkIsNotMeasuredByItsLoad(t *testing.T) {
+	g := NewWithT(t)
+	const configured, load, onTheWay = 125e6, 10e6, 125_000
+	m, now, sent := NewRateMeter(configured), time.Unix(1000, 0), int64(0)
+	for range 100 {
+		now = now.Add(sampleInterval)
+		sent += int64(load * sampleInterval.Seconds())
+		m.Sample(sent, onTheWay, now)
+	}
+	g.Expect(m.Rate(now)).To(BeNumerically("~", usableShare*configured, 1))
+	g.Expect(m.Blocked()).To(BeFalse())
+}
+
 // Runs with a tail need a longer reserve, within its bounds; a single long run changes
 // little.
 func TestReserveFollowsTheSpreadOfRunTimes(t *testing.T) {
--- a/internal/linkbudget/meter.go
+++ b/internal/linkbudget/meter.go
@@ -19,9 +19,10 @@
 	measureTime = 100 * time.Millisecond
 	// maxSampleInterval is the time after which two samples no longer belong together.
 	maxSampleInterval = 200 * time.Millisecond
-	// busyBytes is the backlog above which the link is the bottleneck: a smaller one may be
-	// bytes that are on their way and not yet acknowledged.
-	busyBytes = 32 << 10
+	// minBusyBytes and busyTime bound the backlog above which the link is the bottleneck: a
+	// smaller one may be bytes that are on their way and not yet acknowledged. Round trips
+	// take a few milliseconds.
+	minBusyBytes, busyTime = 32 << 10, 20 * time.Millisecond
 	// measureWeight is the weight of a measurement in the estimate, recoverShare the rise
 	// for a sample without a backlog, as a share of the configured rate.
 	measureWeight, recoverShare = 0.7, 0.05
@@ -96,7 +97,7 @@
 		m.stuck = backlog
 	}
 	switch {
-	case backlog-m.stuck < busyBytes:
+	case float64(backlog-m.stuck) < m.busyBytes():
 		m.busySince = time.Time{}
 		if continuous {
 			m.measured = min(m.measured+recoverShare*m.bound, m.bound)
@@ -142,5 +143,10 @@
 // Blocked reports whether the link has as much to send as it takes in sampleInterval
 // beyond what is normally on its way.
 func (m *RateMeter) Blocked() bool {
-	return float64(m.backlog-m.stuck) > busyBytes+m.measured*sampleInterval.Seconds()
+	return float64(m.backlog-m.stuck) > m.busyBytes()+m.measured*sampleInterval.Seconds()
+}
+
+// busyBytes returns the backlog of a link that is the bottleneck.
+func (m *RateMeter) busyBytes() float64 {
+	return max(minBusyBytes, m.bound*busyTime.Seconds())
 }
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -190,9 +190,9 @@
 		}
 		return http.StatusBadGateway, 0
 	}
-	size, err2 := io.Copy(io.Discard, answer.Body)
+	size, readErr := io.Copy(io.Discard, answer.Body)
 	_ = answer.Body.Close() // read to its end, or broken off
-	if err2 != nil {
+	if readErr != nil {
 		return http.StatusBadGateway, 0
 	}
 	n.dispatcher.answerSizes.Observe(name, size)
