--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -11,6 +11,7 @@
 	"boragefall/internal/balance"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/retry"
@@ -57,10 +58,10 @@
 	linkPort string
 	// dataCentre is this node's own.
 	dataCentre  string
-	answerSizes *answerSizes
+	answerSizes *linkbudget.Sizes
 	// answerTimes predicts how long a request takes; drain holds the time until which this
 	// node delivers answers while it is stopping.
-	answerTimes *answerTimes
+	answerTimes *linkbudget.Times
 	drain       *drainEnd
 	headers     protocol.NoticeReader
 	// markLeaving records that a server stated that it leaves.
