Estimate the speed of each server beside it

The gate and the entries decided by a plain moving mean of service times, and Server-Load was not read. Package serverspeed estimates the usual time of each class, the present slowdown (stated or learned) and the concurrency with the highest throughput; the gate, its load reports and the entry's choice use them.

go test ./internal/{admission,balance,exchange,sidecar} ./platform passes.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -77,6 +77,11 @@
 	p.end(func(m *Machine, elapsed time.Duration) { m.Done(p.ticket, elapsed, failed) })
 }
 
+// Observe records what the answer showed about the run, before the permit ends.
+func (p *Permit) Observe(o Observation) {
+	p.ticket.observation = o
+}
+
 // Abandon ends the permit of a request that was given up.
 func (p *Permit) Abandon() {
 	p.end(func(m *Machine, elapsed time.Duration) { m.Abandon(p.ticket, elapsed) })
@@ -130,6 +135,16 @@
 	g.update(func(m *Machine, now time.Time) { m.RecordHealthCheck(now) })
 }
 
+// RecordStated records the slowdown in percent that the server stated.
+func (g *Gate) RecordStated(percent int) {
+	g.update(func(m *Machine, now time.Time) { m.RecordStated(percent, now) })
+}
+
+// ResetSpeed forgets the server's speed, because another process is in its place.
+func (g *Gate) ResetSpeed() {
+	g.update(func(m *Machine, _ time.Time) { m.speed.Reset() })
+}
+
 // GrantStart permits one request beyond the server's limit.
 func (g *Gate) GrantStart() {
 	g.update(func(m *Machine, now time.Time) { m.GrantStart(now) })
@@ -168,12 +183,30 @@
 	return g.machine.cold(time.Now())
 }
 
-// ExpectedServiceTime returns the mean service time of a class of requests; 0 if it is
-// not known.
+// ExpectedServiceTime returns the time that a request of a class takes if it starts now; 0
+// if it is not known.
 func (g *Gate) ExpectedServiceTime(class string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.expectedServiceTime(class)
+	return g.machine.expectedServiceTime(class, time.Now())
+}
+
+// Speed describes the server's speed for metrics.
+type Speed struct {
+	// Factor is the present speed relative to the usual one, and StatedPercent the
+	// slowdown that the server states; 0 while it states none.
+	Factor        float64
+	StatedPercent int
+	// Concurrency is the number of requests that run at once at most.
+	Concurrency int
+}
+
+// Speed returns the server's estimated speed.
+func (g *Gate) Speed() Speed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, now := g.machine.speed, time.Now()
+	return Speed{Factor: e.Speed(now), StatedPercent: e.Stated(now), Concurrency: e.Concurrency(now)}
 }
 
 // Load returns the server's current load.
@@ -183,7 +216,8 @@
 	m, now := g.machine, time.Now()
 	load := contract.Load{
 		Running: m.running, Queued: len(m.waiting), Limit: m.slots, State: host.StateWarm,
-		ServiceTime: m.serviceTime.duration(), FailureRate: m.failureRate.value,
+		ServiceTime: m.speed.MeanUsualTime(m.running), FailureRate: m.failureRate.value,
+		Slowdown: m.slowdownPercent(now), Concurrency: m.limitedConcurrency(now),
 		RateLimit: m.limiter.limit, StartWait: m.limiter.wait(Request{}, len(m.waiting), now),
 	}
 	switch {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -9,9 +9,8 @@
 	"slices"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	"boragefall/internal/contract"
+	"boragefall/internal/serverspeed"
 	"boragefall/internal/verdict"
 )
 
@@ -25,8 +24,6 @@
 	// queuePerSlot bounds the waiting requests, and with them memory. The expected wait
 	// decides whether a request can finish in time.
 	queuePerSlot = 8
-	// maxClasses bounds the classes whose service time is remembered.
-	maxClasses = 512
 	// minRetryAfter is the least Retry-After of a refusal: the time that the answer and a
 	// new connection take.
 	minRetryAfter = 50 * time.Millisecond
@@ -59,6 +56,11 @@
 	request    Request
 	enqueuedAt time.Time
 	startedAt  time.Time
+	// startedBusy and startedProgress are the machine's busyTime and the server's progress
+	// at startedAt.
+	startedBusy, startedProgress float64
+	// observation is what the answer showed about the run.
+	observation Observation
 	// expectedLate reports that the request was expected to miss its objective when it
 	// was accepted.
 	expectedLate bool
@@ -82,24 +84,20 @@
 	// down reports that the server accepts no connections.
 	down bool
 	// closed reports that new requests are refused.
-	closed      bool
-	serviceTime movingMean
-	// classServiceTimes holds the service time of each class. It is bounded, since routes
-	// change over time.
-	classServiceTimes *simplelru.LRU[string, *movingMean]
-	failureRate       movingMean
-	queuedShare       queuedShare
+	closed bool
+	// speed estimates the service times and the concurrency that the server handles well.
+	speed *serverspeed.Estimator
+	// speedHistory is what the machine tracks for the estimates.
+	speedHistory speedHistory
+	failureRate  movingMean
+	queuedShare  queuedShare
 	// limiter holds the request limit that the server states.
 	limiter rateLimiter
 }
 
 // NewMachine returns a machine that holds all requests until MarkUp is called.
 func NewMachine(slots int, maxColdRate float64) *Machine {
-	classes, err := simplelru.NewLRU[string, *movingMean](maxClasses, nil)
-	if err != nil {
-		panic(err) // only if maxClasses is not positive
-	}
-	return &Machine{slots: max(slots, 1), coldRate: coldMargin * maxColdRate, held: true, classServiceTimes: classes}
+	return &Machine{slots: max(slots, 1), coldRate: coldMargin * maxColdRate, held: true, speed: serverspeed.NewEstimator(slots)}
 }
 
 // Enqueue accepts a request into the queue or refuses it.
@@ -120,7 +118,7 @@
 	if refused {
 		return nil, verdict.Refuse(m.busyReason(now), m.retryAfter(t, wait, now))
 	}
-	t.expectedLate = wait > 0 && now.Add(wait+m.expectedServiceTime(r.Class)).After(r.Objective)
+	t.expectedLate = wait > 0 && now.Add(wait+m.expectedServiceTime(r.Class, now)).After(r.Objective)
 	m.waiting = append(m.waiting, t)
 	return t, nil
 }
@@ -147,14 +145,17 @@
 // in time. It returns when to call it again, or the zero time if only an event can change
 // the result.
 func (m *Machine) Dispatch(now time.Time) time.Time {
+	m.relearnWhenWarm(now)
 	m.refuseExpired(now)
-	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < m.slots {
+	concurrency := m.speed.Concurrency(now)
+	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < concurrency {
 		next := m.next()
 		if at := later(m.nextColdStart(now), now.Add(m.limiter.wait(m.waiting[next].request, 0, now))); at.After(now) {
 			return at
 		}
 		t := m.remove(next)
 		t.startedAt = now
+		m.beginRun(t, now)
 		m.running++
 		m.recordStart(now)
 		t.decision <- nil
@@ -165,18 +166,16 @@
 
 // Done ends a started ticket. failed reports that the server failed to serve the request.
 func (m *Machine) Done(t *Ticket, elapsed time.Duration, failed bool) {
-	m.running--
 	m.failureRate.add(indicator(failed))
-	if !failed {
-		m.recordServiceTime(t.request.Class, elapsed)
-	}
+	m.endRun(t, elapsed, failed)
+	m.running--
 }
 
 // Abandon ends a started ticket whose request was given up. The elapsed time is a lower
 // bound of the service time.
 func (m *Machine) Abandon(t *Ticket, elapsed time.Duration) {
 	m.running--
-	if elapsed > m.expectedServiceTime(t.request.Class) {
+	if elapsed > m.expectedServiceTime(t.request.Class, t.startedAt.Add(elapsed)) {
 		m.recordServiceTime(t.request.Class, elapsed)
 	}
 }
@@ -213,12 +212,14 @@
 func (m *Machine) MarkUp(coldFor time.Duration, now time.Time) {
 	m.held, m.down = false, false
 	m.coldUntil = now.Add(coldFor)
+	m.speedHistory.cold = m.speedHistory.cold || coldFor > 0
 }
 
 // ExtendCold moves the end of the cold period to a later time.
 func (m *Machine) ExtendCold(at time.Time) {
 	if at.After(m.coldUntil) {
 		m.coldUntil = at
+		m.speedHistory.cold = true
 	}
 }
 
@@ -227,6 +228,7 @@
 func (m *Machine) SetLimits(slots int, maxColdRate float64) {
 	if slots > 0 {
 		m.slots = slots
+		m.speed.SetSlots(slots)
 	}
 	if maxColdRate > 0 {
 		m.coldRate = coldMargin * maxColdRate
@@ -252,7 +254,7 @@
 // also refuses those that were expected to miss their objective when they were accepted.
 func (m *Machine) refuseExpired(now time.Time) {
 	m.refuseWaitingIf(func(t *Ticket, _ int) bool {
-		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class) / slotTurnoverFactor).After(t.request.Deadline)
+		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class, now) / slotTurnoverFactor).After(t.request.Deadline)
 		return cannotFinish || m.overloaded(now) && t.expectedLate
 	}, now)
 }
@@ -283,16 +285,21 @@
 	if !limit.Stated {
 		return
 	}
+	m.sortWaiting()
+	m.refuseWaitingIf(func(t *Ticket, ahead int) bool {
+		finish := now.Add(m.limiter.wait(t.request, ahead, now) + m.expectedServiceTime(t.request.Class, now)/slotTurnoverFactor)
+		return finish.After(t.request.Deadline)
+	}, now)
+}
+
+// sortWaiting puts the waiting requests into the order in which they start.
+func (m *Machine) sortWaiting() {
 	slices.SortFunc(m.waiting, func(a, b *Ticket) int {
 		if before(a, b) {
 			return -1
 		}
 		return 1
 	})
-	m.refuseWaitingIf(func(t *Ticket, ahead int) bool {
-		finish := now.Add(m.limiter.wait(t.request, ahead, now) + m.expectedServiceTime(t.request.Class)/slotTurnoverFactor)
-		return finish.After(t.request.Deadline)
-	}, now)
 }
 
 // RecordHealthCheck counts a health check, which the server counts as a request.
@@ -338,9 +345,7 @@
 func (m *Machine) expectedWait(t *Ticket, now time.Time) time.Duration {
 	ahead := m.ahead(t)
 	wait := m.limiter.wait(t.request, ahead, now)
-	if busy := m.running + ahead - m.slots + 1; busy > 0 {
-		wait = max(wait, time.Duration(busy)*m.serviceTime.duration()/time.Duration(m.slots))
-	}
+	wait = max(wait, m.turnoverWait(ahead, now))
 	if m.cold(now) && m.coldRate > 0 {
 		wait = max(wait, max(m.nextColdStart(now).Sub(now), 0)+time.Duration(float64(ahead)/m.coldRate*float64(time.Second)))
 	}
@@ -405,25 +410,6 @@
 	return max(wait/slotTurnoverFactor, m.limiter.wait(t.request, m.ahead(t), now), minRetryAfter)
 }
 
-func (m *Machine) recordServiceTime(class string, elapsed time.Duration) {
-	m.serviceTime.add(elapsed.Seconds())
-	known, ok := m.classServiceTimes.Get(class)
-	if !ok {
-		known = &movingMean{}
-		m.classServiceTimes.Add(class, known)
-	}
-	known.add(elapsed.Seconds())
-}
-
-// expectedServiceTime returns the mean service time of a class, or of all requests while
-// the class has none. It is 0 while no service time is known.
-func (m *Machine) expectedServiceTime(class string) time.Duration {
-	if known, ok := m.classServiceTimes.Get(class); ok {
-		return known.duration()
-	}
-	return m.serviceTime.duration()
-}
-
 func indicator(condition bool) float64 {
 	if condition {
 		return 1
--- a/internal/admission/mean.go
+++ b/internal/admission/mean.go
@@ -1,7 +1,5 @@
 package admission
 
-import "time"
-
 // smoothingFactor is the weight of a new sample in the moving means.
 const smoothingFactor = 0.1
 
@@ -18,7 +16,3 @@
 	}
 	m.value += smoothingFactor * (sample - m.value)
 }
-
-func (m *movingMean) duration() time.Duration {
-	return time.Duration(m.value * float64(time.Second))
-}
--- a/internal/admission/patience.go
+++ b/internal/admission/patience.go
@@ -23,7 +23,7 @@
 // wait. A request that would miss its objective goes behind all others, so few of them
 // are accepted, and only if half of the time between objective and deadline remains.
 func (m *Machine) acceptable(r Request, delay, wait time.Duration, now time.Time) bool {
-	finish := now.Add(delay + wait + m.expectedServiceTime(r.Class))
+	finish := now.Add(delay + wait + m.expectedServiceTime(r.Class, now))
 	slack := r.Objective.Sub(finish) + wait
 	if wait <= m.maxWait(r, slack, r.Objective.Sub(now)-delay, now) {
 		return true
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -39,6 +39,13 @@
 	// serviceTimeDecay is the time constant for a server's service time, which changes
 	// more slowly.
 	serviceTimeDecay = 4 * time.Second
+	// usualTimeDecay is the time constant for the service time at usual speed, which
+	// differs from server to server and rarely changes.
+	usualTimeDecay = 30 * time.Second
+	// slowdownDecay is the time constant for a slowdown: slow periods last 0.6 s.
+	slowdownDecay = 300 * time.Millisecond
+	// minSlowdown and maxSlowdown bound the slowdown that a gate reports, in percent.
+	minSlowdown, maxSlowdown = 25, 2000
 	// delayDecay is the time constant for a long network delay to a gate: a host that is
 	// slow or cut off stays so for seconds, and each entry node sends to a server of a
 	// large service only every few seconds.
@@ -322,16 +329,13 @@
 func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, now time.Time) float64 {
 	s := b.stateOf(l.ID, now)
 	age := now.Sub(s.loadAt)
-	serviceTime := meanServiceTime
-	if s.serviceTime > 0 {
-		serviceTime += time.Duration(float64(s.serviceTime-meanServiceTime) * decay(age, serviceTimeDecay))
-	}
-	slots := max(l.Slots, 1)
+	serviceTime := s.expectedServiceTime(meanServiceTime, age)
+	concurrency := s.concurrency(l.Slots)
 	reportedLoad := float64(s.load.Running+s.load.Queued) * decay(age, loadDecay)
 	busy := max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
-	cost := serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/float64(slots), 1))
-	if excess := busy + 1 - float64(slots); excess > 0 {
-		cost += serviceTime.Seconds() * excess / float64(slots)
+	cost := serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
+	if excess := busy + 1 - concurrency; excess > 0 {
+		cost += serviceTime.Seconds() * excess / concurrency
 	}
 	cost += s.limitWait(age).Seconds()
 	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.LocalAddress {
@@ -360,6 +364,28 @@
 	return cost + b.availabilityCost(l, s, r, now)
 }
 
+// expectedServiceTime returns the service time at the server's present speed, as far as a
+// load report of a given age shows it.
+func (s *serverState) expectedServiceTime(mean, age time.Duration) time.Duration {
+	if s.serviceTime <= 0 {
+		return mean
+	}
+	if s.load.Slowdown <= 0 {
+		return mean + time.Duration(float64(s.serviceTime-mean)*decay(age, serviceTimeDecay))
+	}
+	usual := float64(mean) + float64(s.serviceTime-mean)*decay(age, usualTimeDecay)
+	slowdown := float64(min(max(s.load.Slowdown, minSlowdown), maxSlowdown)) / 100
+	return time.Duration(usual * (1 + (slowdown-1)*decay(age, slowdownDecay)))
+}
+
+// concurrency returns the number of requests that the server handles well at once.
+func (s *serverState) concurrency(slots int) float64 {
+	if s.load.Concurrency > 0 {
+		slots = min(slots, s.load.Concurrency)
+	}
+	return float64(max(slots, 1))
+}
+
 // availabilityCost returns the cost that defers a server until no other is left.
 func (b *Balancer) availabilityCost(l *catalog.Listing, s *serverState, r Request, now time.Time) float64 {
 	unusable := s.load.State == host.StateLeaving || s.load.State == host.StateDown
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -37,8 +37,15 @@
 type Load struct {
 	Running, Queued, Limit int
 	State                  host.State
-	// ServiceTime is the server's mean service time per request; 0 means unknown.
+	// ServiceTime is the server's mean service time per request; 0 means unknown. Where
+	// Slowdown is known, it is that at the server's usual speed.
 	ServiceTime time.Duration
+	// Slowdown is how long work takes at the moment, in percent of the usual time; 0 means
+	// unknown, as from builds that don't report it.
+	Slowdown int
+	// Concurrency is the number of requests that the server runs well at once if it is
+	// below Limit, and otherwise 0.
+	Concurrency int
 	// BodyQueueDelay is the time until the request bodies in transit to the gate have
 	// arrived. BodyRate is their transfer rate in bytes per second; 0 means unknown.
 	BodyQueueDelay time.Duration
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -174,6 +174,8 @@
 		BodyRate:         int64(l.GetBodyKilobytesPerSecond()) << 10,
 		RateLimit:        decodeRateLimit(l.RateLimit),
 		StartWait:        decodeMicros(l.GetStartWaitMicros()),
+		Slowdown:         int(min(l.GetSlowdownPercent(), math.MaxInt32)),
+		Concurrency:      int(min(l.GetConcurrency(), math.MaxInt32)),
 	}
 }
 
@@ -190,6 +192,8 @@
 		BodyKilobytesPerSecond: uint32(min(max(l.BodyRate>>10, 0), math.MaxUint32)),
 		RateLimit:              encodeRateLimit(l.RateLimit),
 		StartWaitMicros:        encodeMicros(l.StartWait),
+		SlowdownPercent:        uint32(max(l.Slowdown, 0)),
+		Concurrency:            uint32(max(l.Concurrency, 0)),
 	}
 }
 
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -56,6 +56,21 @@
 	IdleTimeout time.Duration
 	// Notice is what the server states about itself.
 	Notice ServerNotice
+	// Load is the server's load; zero when the server stated none.
+	Load ServerLoad
+}
+
+// ServerLoad is the load that a server states in its responses.
+type ServerLoad struct {
+	// Stated reports that the other fields were stated.
+	Stated bool
+	// Running and Waiting are the requests that the server runs and those that wait in it.
+	Running, Waiting int
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// Slowdown is how long work takes at the moment, in percent of the usual time; 0 when
+	// unspecified.
+	Slowdown int
 }
 
 // ServerNotice is what a server states about itself in any of its responses.
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -86,7 +86,13 @@
 		results: make(chan result, maxReroutes+route.MaxAttempts+2),
 		cancels: map[mesh.ServerID]context.CancelFunc{},
 	}
+	if parent != nil {
+		parent.calls.begin(time.Now())
+	}
 	answer, err := t.run(ctx)
+	if parent != nil {
+		parent.calls.end(time.Now())
+	}
 	t.cancelExcept(answer)
 	if answer == nil {
 		return nil, err
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -270,6 +270,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed = h.respondingServer != "" && h.respondingServer != id
+	if changed {
+		h.gate.ResetSpeed()
+	}
 	h.respondingServer, h.respondedAt = id, time.Now()
 	return changed
 }
@@ -303,7 +306,8 @@
 		permit.Release()
 		return nil, verdict.Refuse(verdict.ReasonFenced, shortRetryAfter)
 	}
-	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0})
+	started := &run{isRetry: r.Attempt > 0}
+	h.runs.begin(r.ID, started)
 	h.handedOver.Add(1)
 	h.checkColdIfStale(time.Now())
 	sentAt, listing := time.Now(), h.view().Servers[mesh.ServerID(r.Server)]
@@ -311,6 +315,7 @@
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
 	}})
 	h.runs.end(r.ID)
+	h.observeSpeed(permit, started, answer)
 	if err != nil {
 		return nil, h.handleFailure(r, permit, verdict.FromError(err), sentAt)
 	}
@@ -452,6 +457,9 @@
 	if restarted && h.limit.reset() {
 		h.applyLimit("server was restarted")
 	}
+	if restarted {
+		h.gate.ResetSpeed()
+	}
 	if restarted || h.evacuated && !evacuated {
 		// A restarted process is cold, and a server of an evacuated data centre may be.
 		h.prober.holdAndProbe(false)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -361,6 +361,7 @@
 		}
 		return -1
 	})
+	registerSpeedMetrics(m, hop)
 	m.Counter("server_requests_total", "Requests sent to the server beside this node.", func() float64 { return float64(hop.handedOver.Load()) })
 	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
 	m.Gauge("config_proven_age_seconds", "Upper bound on the age of the configuration; -1 while nothing is proven.", func() float64 {
--- a/internal/sidecar/runs.go
+++ b/internal/sidecar/runs.go
@@ -16,6 +16,8 @@
 	isRetry bool
 	// callAnswered reports whether a nested call of the run was answered.
 	callAnswered atomic.Bool
+	// calls measures the time in which nested calls of the run are in progress.
+	calls callWait
 }
 
 // activeRuns holds the requests that the server beside this node is running, by ID. It
--- a/internal/sidecar/servernotice.go
+++ b/internal/sidecar/servernotice.go
@@ -42,6 +42,7 @@
 		h.markLeaving(listing.Server)
 	}
 	h.logMalformedLimit(n)
+	h.observeHealthLoad(r)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !n.RateLimit.Stated && n.MalformedLimit != "" {
