Find the concurrency of a server by the slope of its run times

Comparing run times of levels of concurrency took changes of the usual time for effects of the concurrency. Entries expect a server without a recent report to be as busy as the others, and avoid gates that are likely to be full.

go test ./internal/{admission,balance,exchange,serverspeed,sidecar} ./platform passes.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -206,7 +206,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, now := g.machine.speed, time.Now()
-	return Speed{Factor: e.Speed(now), StatedPercent: e.Stated(now), Concurrency: e.Concurrency(now)}
+	return Speed{Factor: e.Speed(now), StatedPercent: e.Stated(now), Concurrency: e.Concurrency()}
 }
 
 // Load returns the server's current load.
@@ -216,8 +216,8 @@
 	m, now := g.machine, time.Now()
 	load := contract.Load{
 		Running: m.running, Queued: len(m.waiting), Limit: m.slots, State: host.StateWarm,
-		ServiceTime: m.speed.MeanUsualTime(m.running), FailureRate: m.failureRate.value,
-		Slowdown: m.slowdownPercent(now), Concurrency: m.limitedConcurrency(now),
+		ServiceTime: m.speed.MeanUsualTime(), FailureRate: m.failureRate.value,
+		Slowdown: m.slowdownPercent(now), Concurrency: m.limitedConcurrency(),
 		RateLimit: m.limiter.limit, StartWait: m.limiter.wait(Request{}, len(m.waiting), now),
 	}
 	switch {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -56,9 +56,10 @@
 	request    Request
 	enqueuedAt time.Time
 	startedAt  time.Time
-	// startedBusy and startedProgress are the machine's busyTime and the server's progress
-	// at startedAt.
-	startedBusy, startedProgress float64
+	// concurrency is the number of running requests and startedProgress the server's
+	// progress at startedAt.
+	concurrency     int
+	startedProgress float64
 	// observation is what the answer showed about the run.
 	observation Observation
 	// expectedLate reports that the request was expected to miss its objective when it
@@ -147,16 +148,15 @@
 func (m *Machine) Dispatch(now time.Time) time.Time {
 	m.relearnWhenWarm(now)
 	m.refuseExpired(now)
-	concurrency := m.speed.Concurrency(now)
-	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < concurrency {
+	permitted := m.speed.Permitted(now)
+	for len(m.waiting) > 0 && !m.held && !m.closed && m.running < permitted {
 		next := m.next()
 		if at := later(m.nextColdStart(now), now.Add(m.limiter.wait(m.waiting[next].request, 0, now))); at.After(now) {
 			return at
 		}
 		t := m.remove(next)
-		t.startedAt = now
-		m.beginRun(t, now)
 		m.running++
+		m.beginRun(t, now)
 		m.recordStart(now)
 		t.decision <- nil
 	}
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -26,9 +26,6 @@
 
 // speedHistory is what the machine tracks for the estimates of the server's speed.
 type speedHistory struct {
-	// busyTime is the integral of the running requests until countedTo, in seconds.
-	busyTime  float64
-	countedTo time.Time
 	// cold reports that the server is or was cold since its times were last learned, and
 	// warmSince when it became warm.
 	cold      bool
@@ -37,21 +34,9 @@
 	lowestSlowdown float64
 }
 
-// countBusyTime adds the running requests since the last call to busyTime.
-func (m *Machine) countBusyTime(now time.Time) {
-	h := &m.speedHistory
-	if elapsed := now.Sub(h.countedTo); elapsed > 0 {
-		if !h.countedTo.IsZero() {
-			h.busyTime += float64(m.running) * elapsed.Seconds()
-		}
-		h.countedTo = now
-	}
-}
-
-// beginRun prepares the measurement of a run that starts now.
+// beginRun prepares the measurement of a run that starts now and is counted as running.
 func (m *Machine) beginRun(t *Ticket, now time.Time) {
-	m.countBusyTime(now)
-	t.startedBusy, t.startedProgress = m.speedHistory.busyTime, m.speed.Progress(now)
+	t.startedAt, t.concurrency, t.startedProgress = now, m.running, m.speed.Progress(now)
 }
 
 // endRun records a run that ended elapsed after its start. A failed run shows nothing
@@ -59,15 +44,13 @@
 // after that.
 func (m *Machine) endRun(t *Ticket, elapsed time.Duration, failed bool) {
 	now := t.startedAt.Add(elapsed)
-	m.countBusyTime(now)
 	m.relearnWhenWarm(now)
 	m.RecordStated(t.observation.StatedPercent, now)
 	if failed || elapsed <= 0 || !m.cold(now) && t.startedAt.Before(m.speedHistory.warmSince) {
 		return
 	}
 	run := serverspeed.Run{
-		Class: t.request.Class, Took: elapsed, CallWait: t.observation.CallWait,
-		Concurrency: (m.speedHistory.busyTime - t.startedBusy) / elapsed.Seconds(),
+		Class: t.request.Class, Took: elapsed, CallWait: t.observation.CallWait, Concurrency: float64(t.concurrency+m.running) / 2,
 	}
 	if progress := m.speed.Progress(now) - t.startedProgress; progress > 0 {
 		run.Slowdown = elapsed.Seconds() / progress
@@ -122,7 +105,7 @@
 		}
 		class := t.request.Class
 		finish := now.Add(m.turnoverWait(ahead, now) + m.expectedServiceTime(class, now))
-		elsewhere := now.Add(handBackTransit + m.speed.UsualTime(class, m.running))
+		elsewhere := now.Add(handBackTransit + m.speed.UsualTime(class))
 		return finish.After(t.request.Objective) && !elsewhere.After(t.request.Objective)
 	}, now)
 }
@@ -130,12 +113,12 @@
 // turnoverWait estimates how long a request waits for a slot behind the running requests
 // and a number of waiting ones.
 func (m *Machine) turnoverWait(ahead int, now time.Time) time.Duration {
-	concurrency := m.speed.Concurrency(now)
+	concurrency := m.speed.Concurrency()
 	busy := m.running + ahead - concurrency + 1
 	if busy <= 0 {
 		return 0
 	}
-	return time.Duration(busy) * m.speed.MeanTime(concurrency, now) / time.Duration(concurrency)
+	return time.Duration(busy) * m.speed.MeanTime(now) / time.Duration(concurrency)
 }
 
 // recordServiceTime records the time of a run that did not end by itself.
@@ -146,7 +129,7 @@
 // expectedServiceTime returns the expected time of a run of a class that starts now. It is
 // 0 while no service time is known.
 func (m *Machine) expectedServiceTime(class string, now time.Time) time.Duration {
-	return m.speed.ExpectedTime(class, min(m.running+1, m.slots), now)
+	return m.speed.ExpectedTime(class, now)
 }
 
 // slowdownPercent returns the slowdown as it is reported to entries.
@@ -156,8 +139,8 @@
 
 // limitedConcurrency returns the concurrency that the server handles well if it is below
 // its slots, and otherwise 0.
-func (m *Machine) limitedConcurrency(now time.Time) int {
-	if concurrency := m.speed.Concurrency(now); concurrency < m.slots {
+func (m *Machine) limitedConcurrency() int {
+	if concurrency := m.speed.Concurrency(); concurrency < m.slots {
 		return concurrency
 	}
 	return 0
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -50,9 +50,16 @@
 	// slow or cut off stays so for seconds, and each entry node sends to a server of a
 	// large service only every few seconds.
 	delayDecay = 4 * time.Second
+	// utilizationWeight is the weight of a load report in the mean utilization.
+	utilizationWeight = 0.05
 	// utilizationPenalty is the relative cost of a busy server with free slots over an
 	// idle one: servers slow down towards their last slots.
 	utilizationPenalty = 0.4
+	// crowdingCost is the cost of a server without a free slot, in mean service times:
+	// its gate refuses the request, and another one has to be asked. With rare and old
+	// reports a server may be full before it is expected to be; crowdingExponent is how
+	// steeply that becomes likely towards the last slots.
+	crowdingCost, crowdingExponent = 2, 8
 	// failureCost is the cost of a server that fails every request.
 	failureCost = 2 * time.Second
 	// silenceFactor is the number of service times that a server may be silent with a
@@ -107,6 +114,9 @@
 
 	mu      sync.Mutex
 	servers map[mesh.ServerID]*serverState
+	// utilization is the mean share of busy slots in recent load reports; servers without
+	// a recent one are expected to be as busy as the others.
+	utilization float64
 	sweptAt time.Time
 }
 
@@ -237,6 +247,10 @@
 	}
 	s.recordDelay(delay, now)
 	s.load, s.loadAt, s.sentSinceLoad, s.silentSince = *load, now, 0, now
+	if load.Limit > 0 {
+		share := float64(load.Running+load.Queued) / s.concurrency(load.Limit)
+		b.utilization += utilizationWeight * (min(share, 1) - b.utilization)
+	}
 	if load.ServiceTime > 0 {
 		s.serviceTime = load.ServiceTime
 	}
@@ -331,9 +345,11 @@
 	age := now.Sub(s.loadAt)
 	serviceTime := s.expectedServiceTime(meanServiceTime, age)
 	concurrency := s.concurrency(l.Slots)
-	reportedLoad := float64(s.load.Running+s.load.Queued) * decay(age, loadDecay)
+	usualLoad := b.utilization * concurrency
+	reportedLoad := usualLoad + (float64(s.load.Running+s.load.Queued)-usualLoad)*decay(age, loadDecay)
 	busy := max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
-	cost := serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
+	cost := meanServiceTime.Seconds() * crowdingCost * math.Pow(min(busy/concurrency, 1), crowdingExponent)
+	cost += serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
 	if excess := busy + 1 - concurrency; excess > 0 {
 		cost += serviceTime.Seconds() * excess / concurrency
 	}
--- a/internal/serverspeed/estimator.go
+++ b/internal/serverspeed/estimator.go
@@ -25,11 +25,11 @@
 	// time.
 	maxClasses = 512
 	// usualWeight is the weight of a sample in the usual time of its class. Service times
-	// vary by about a third, and 20 samples reduce that to a tenth.
-	usualWeight = 0.05
-	// slowUsualWeight is that weight while runs show another speed than usual: first the
-	// learned slowdown explains the difference, and only if it lasts the usual time does.
-	slowUsualWeight = 0.02
+	// vary by about a third; with this weight the usual time varies by a few percent. Until
+	// it has followed a change that lasts, the learned slowdown explains the difference.
+	usualWeight = 0.02
+	// maxUsualRatio bounds a sample to a multiple of the usual time.
+	maxUsualRatio = 4
 	// mixWeight is the weight of a run in the mean over the mix of classes. It is lower
 	// than usualWeight, so that a short change of the mix hardly changes the mean.
 	mixWeight = 0.02
@@ -63,7 +63,8 @@
 	// Took is the time from the start of the run until its answer, and CallWait the part
 	// of it in which calls of the run were in progress.
 	Took, CallWait time.Duration
-	// Concurrency is the mean number of requests that the server ran in that time.
+	// Concurrency is the mean of the requests that the server ran at its start and at its
+	// end, with this one. A mean over the whole time would depend on how long it took.
 	Concurrency float64
 	// Slowdown is the mean stated slowdown in that time, as a factor; 0 means none.
 	Slowdown float64
@@ -76,7 +77,8 @@
 	mix     classTimes
 	stated  statedSpeed
 	learned learnedSpeed
-	curve   curve
+	// gradient finds the concurrency that the server handles well.
+	gradient gradient
 	// slowSince is the time since which the server is slow; zero while it isn't.
 	slowSince time.Time
 }
@@ -86,6 +88,9 @@
 	// work is the time of a run at usual speed without its calls, calls the time in which
 	// its calls were in progress.
 	work, calls float64
+	// reference is work at the begin of the given window of the gradient.
+	reference float64
+	window    uint32
 	// samples is the number of runs since the start or the last Relearn.
 	samples int
 }
@@ -123,14 +128,15 @@
 	if err != nil {
 		panic(err) // only if maxClasses is not positive
 	}
-	return &Estimator{slots: max(slots, 1), classes: classes, curve: newCurve()}
+	slots = max(slots, 1)
+	return &Estimator{slots: slots, classes: classes, gradient: newGradient(slots)}
 }
 
 // SetSlots sets the number of requests that the server runs at most.
 func (e *Estimator) SetSlots(slots int) {
 	if slots > 0 && slots != e.slots {
 		e.slots = slots
-		e.curve = newCurve()
+		e.gradient = newGradient(e.slots)
 	}
 }
 
@@ -146,7 +152,7 @@
 		times.samples = min(times.samples, 1)
 	}
 	e.mix.samples = min(e.mix.samples, 1)
-	e.learned, e.curve = learnedSpeed{}, newCurve()
+	e.learned, e.gradient = learnedSpeed{}, newGradient(e.slots)
 }
 
 // RecordStated records the slowdown that the server stated, in percent. A value outside
@@ -172,18 +178,16 @@
 	if r.Slowdown > 0 {
 		work /= r.Slowdown
 	}
-	level := e.curve.level(r.Concurrency, e.slots)
-	atOne := work / e.curve.factor(level)
 	times := e.class(r.Class)
 	if times.samples >= minClassSamples && times.work > 0 {
-		e.learned.add(atOne/times.work, now)
-		e.curve.add(level, work/times.work, now)
+		e.learned.add(work/times.work, now)
+		if window := e.gradient.window(now); times.window != window || times.reference <= 0 {
+			times.window, times.reference = window, times.work
+		}
+		e.gradient.add(r.Concurrency, work/times.reference, now)
+		work = min(work, maxUsualRatio*times.work)
 	}
-	weight := usualWeight
-	if math.Abs(e.learned.valueAt(now)-1) > learnedTolerance {
-		weight = slowUsualWeight
-	}
-	times.add(atOne, r.CallWait.Seconds(), weight)
+	times.add(work, r.CallWait.Seconds(), usualWeight)
 	e.mix.add(times.work, times.calls, mixWeight)
 	e.trackSlowPeriod(now)
 }
@@ -232,43 +236,47 @@
 
 // Concurrency returns the number of requests that the server runs well at once, at most
 // its slots.
-func (e *Estimator) Concurrency(now time.Time) int {
-	return e.curve.concurrency(e.slots, now)
+func (e *Estimator) Concurrency() int {
+	return e.gradient.rounded(e.gradient.limit)
+}
+
+// Permitted returns the number of requests that may run now. For a short time it is another
+// one than Concurrency, to see whether the server does better with that.
+func (e *Estimator) Permitted(now time.Time) int {
+	return e.gradient.concurrency(now)
 }
 
-// ExpectedTime returns the time that a run of a class takes if it starts now, with a
-// number of requests running; 0 if no time is known. A class without runs is expected to
-// take the mean time.
-func (e *Estimator) ExpectedTime(class string, running int, now time.Time) time.Duration {
+// ExpectedTime returns the time that a run of a class takes if it starts now; 0 if
+// no time is known. A class without runs is expected to take the mean time.
+func (e *Estimator) ExpectedTime(class string, now time.Time) time.Duration {
 	if times, ok := e.classes.Get(class); ok && times.samples > 0 {
-		return e.expected(times, running, now)
+		return e.expected(times, now)
 	}
-	return e.expected(&e.mix, running, now)
+	return e.expected(&e.mix, now)
 }
 
 // MeanTime returns the expected time of a run that starts now, over the mix of classes.
-func (e *Estimator) MeanTime(running int, now time.Time) time.Duration {
-	return e.expected(&e.mix, running, now)
+func (e *Estimator) MeanTime(now time.Time) time.Duration {
+	return e.expected(&e.mix, now)
 }
 
 // UsualTime returns the mean time of a run at the server's usual speed.
-func (e *Estimator) UsualTime(class string, running int) time.Duration {
+func (e *Estimator) UsualTime(class string) time.Duration {
 	times, ok := e.classes.Get(class)
 	if !ok {
 		times = &e.mix
 	}
-	return seconds(times.work*e.curve.factorAt(running, e.slots) + times.calls)
+	return seconds(times.work + times.calls)
 }
 
 // MeanUsualTime returns the mean time of a run over the mix of classes at the server's usual
 // speed.
-func (e *Estimator) MeanUsualTime(running int) time.Duration {
-	return seconds(e.mix.work*e.curve.factorAt(running, e.slots) + e.mix.calls)
+func (e *Estimator) MeanUsualTime() time.Duration {
+	return seconds(e.mix.work + e.mix.calls)
 }
 
-func (e *Estimator) expected(times *classTimes, running int, now time.Time) time.Duration {
-	work := times.work * e.curve.factorAt(running, e.slots)
-	return seconds(e.slowed(work, now) + times.calls)
+func (e *Estimator) expected(times *classTimes, now time.Time) time.Duration {
+	return seconds(e.slowed(times.work, now) + times.calls)
 }
 
 // slowed returns the time that work takes which starts now and is expected to outlast the
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -43,6 +43,10 @@
 	notice    protocol.ServerNotice
 	noticedAt time.Time
 	arrivedAt []time.Time
+	// pace is how the speed of the server changes; nil if it does not.
+	pace *loadPace
+	// running is the number of requests that the server runs.
+	running int
 	// extraDelay is added to each message in either direction.
 	extraDelay time.Duration
 }
@@ -81,7 +85,7 @@
 	if r.ServerRequest.Probe {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id), Notice: n.notice}), nil
+		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id), Notice: n.notice, Load: n.pace.load(time.Now())}), nil
 	}
 	n.mu.Lock()
 	n.arrivedAt = append(n.arrivedAt, time.Now())
@@ -93,10 +97,16 @@
 	route := n.simulation.routes[r.Route]
 	n.mu.Lock()
 	n.runs++
+	n.running++
 	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.running--
+	}()
 	status := http.StatusOK
 	work := time.Duration(float64(n.simulation.random.sampleDuration(route.work)) / n.speed)
-	sleepContext(ctx, work/2)
+	n.work(ctx, work/2)
 	if float64(r.Fingerprint)/math.MaxUint32 < route.callShare {
 		for range route.calls {
 			if !n.call(ctx, r, route.callRoute, retry) {
@@ -106,7 +116,7 @@
 		}
 	}
 	if status == http.StatusOK {
-		sleepContext(ctx, work/2)
+		n.work(ctx, work/2)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -117,7 +127,7 @@
 	if status != http.StatusOK {
 		n.wasted++
 	}
-	return serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice}), nil
+	return serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice, Load: n.pace.load(time.Now())}), nil
 }
 
 // state makes the server state something about itself in its answers from now on.
