Learn the work of each route at the entry, and test speeds under load

An entry expected every request to take the mean time, so that short ones with a short objective looked late everywhere. The balancer learns the relative work of a route from the times of gates without a queue. Changes of a server's concurrency are logged.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -55,11 +55,9 @@
 	// utilizationPenalty is the relative cost of a busy server with free slots over an
 	// idle one: servers slow down towards their last slots.
 	utilizationPenalty = 0.4
-	// crowdingCost is the cost of a server without a free slot, in mean service times:
-	// its gate refuses the request, and another one has to be asked. With rare and old
-	// reports a server may be full before it is expected to be; crowdingExponent is how
-	// steeply that becomes likely towards the last slots.
-	crowdingCost, crowdingExponent = 2, 8
+	// crowdingCost is the cost of a server without a free slot, in mean service times: its
+	// gate refuses the request, and another one has to be asked.
+	crowdingCost = 2
 	// failureCost is the cost of a server that fails every request.
 	failureCost = 2 * time.Second
 	// silenceFactor is the number of service times that a server may be silent with a
@@ -97,6 +95,8 @@
 	// LocalAddress is the address of the server on this host; a body for it crosses no
 	// link.
 	LocalAddress string
+	// Route groups requests with similar work.
+	Route string
 	// Class groups requests that a full gate refuses alike.
 	Class string
 	// Excluded holds the servers that must not be chosen, since they were tried already.
@@ -117,7 +117,8 @@
 	// utilization is the mean share of busy slots in recent load reports; servers without
 	// a recent one are expected to be as busy as the others.
 	utilization float64
-	sweptAt time.Time
+	work        routeWork
+	sweptAt     time.Time
 }
 
 // serverState is what this node has observed of a server.
@@ -155,7 +156,7 @@
 // New returns the balancer of a node in a data centre. random returns values from 0 to 1
 // and is called by one goroutine at a time.
 func New(dataCentre string, random func() float64) *Balancer {
-	return &Balancer{dataCentre: dataCentre, random: random, servers: map[mesh.ServerID]*serverState{}}
+	return &Balancer{dataCentre: dataCentre, random: random, servers: map[mesh.ServerID]*serverState{}, work: newRouteWork()}
 }
 
 // Choose returns the best of the listed servers and counts the request as outstanding
@@ -166,7 +167,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
-	meanServiceTime := b.meanServiceTime(listed)
+	meanServiceTime, work := b.meanServiceTime(listed), b.work.of(r.Route)
 	var best *catalog.Listing
 	var retryIn time.Duration
 	bestCost := math.Inf(1)
@@ -180,7 +181,7 @@
 			}
 			continue
 		}
-		cost := b.cost(l, r, meanServiceTime, now)
+		cost := b.cost(l, r, meanServiceTime, work, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -339,8 +340,8 @@
 }
 
 // cost returns the expected time until an answer in seconds, with other disadvantages of
-// a server added as time.
-func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, now time.Time) float64 {
+// a server added as time. work is the work of the request relative to the mean.
+func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, work float64, now time.Time) float64 {
 	s := b.stateOf(l.ID, now)
 	age := now.Sub(s.loadAt)
 	serviceTime := s.expectedServiceTime(meanServiceTime, age)
@@ -348,8 +349,8 @@
 	usualLoad := b.utilization * concurrency
 	reportedLoad := usualLoad + (float64(s.load.Running+s.load.Queued)-usualLoad)*decay(age, loadDecay)
 	busy := max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
-	cost := meanServiceTime.Seconds() * crowdingCost * math.Pow(min(busy/concurrency, 1), crowdingExponent)
-	cost += serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
+	cost := meanServiceTime.Seconds() * crowdingCost * crowding(min(busy/concurrency, 1))
+	cost += work * serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
 	if excess := busy + 1 - concurrency; excess > 0 {
 		cost += serviceTime.Seconds() * excess / concurrency
 	}
@@ -367,7 +368,7 @@
 	cost += failureCost.Seconds() * s.load.FailureRate * decay(age, serviceTimeDecay)
 	if s.outstanding > 0 {
 		// A host that lost power or hangs sends no answer.
-		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*serviceTime.Seconds(), 0)
+		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*max(work, 1)*serviceTime.Seconds(), 0)
 	}
 	cost *= 1 + costJitter*(2*b.random()-1)
 	if l.DataCentre != b.dataCentre {
@@ -390,8 +391,15 @@
 		return mean + time.Duration(float64(s.serviceTime-mean)*decay(age, serviceTimeDecay))
 	}
 	usual := float64(mean) + float64(s.serviceTime-mean)*decay(age, usualTimeDecay)
-	slowdown := float64(min(max(s.load.Slowdown, minSlowdown), maxSlowdown)) / 100
-	return time.Duration(usual * (1 + (slowdown-1)*decay(age, slowdownDecay)))
+	return time.Duration(usual * (1 + (slowdownOf(&s.load)-1)*decay(age, slowdownDecay)))
+}
+
+// crowding returns how likely a server is full whose expected share of busy slots is given.
+// Reports are rare and old, so it may be full before it is expected to be, but hardly
+// below two thirds.
+func crowding(busy float64) float64 {
+	square := busy * busy
+	return square * square * square * square
 }
 
 // concurrency returns the number of requests that the server handles well at once.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -293,3 +293,53 @@
 	l, _ = b.Choose(servers, Request{Class: "order"}, start.Add(fullRecheckInterval))
 	g.Expect(l).NotTo(BeNil())
 }
+
+// A server of a service with slow periods of 0.6 s gets few requests while it is slow, and
+// its share again a second after it was last seen slow.
+func TestSlowdownIsFollowedAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "north")
+	usual, slow := warmLoad(3), warmLoad(3)
+	usual.Slowdown, slow.Slowdown = 100, 250
+	b := newBalancer()
+	got := countChoices(b, servers, Request{}, map[mesh.ServerID]*contract.Load{"a0": slow, "a1": usual}, 100, time.Millisecond)
+	g.Expect(got["a0"]).To(BeNumerically("<", 5), "%v", got)
+	later := 0
+	for i := range 100 {
+		now := start.Add(1200*time.Millisecond + time.Duration(i)*time.Millisecond)
+		l, _ := b.Choose(servers, Request{}, now)
+		if l.ID == "a0" {
+			later++
+		}
+		b.Finish(l.ID, usual, 0, now)
+	}
+	g.Expect(later).To(BeNumerically(">", 25))
+}
+
+// A server that handles 3 requests well is full with 3, whatever its slots. A gate of an
+// older build states neither value.
+func TestConcurrencyCountsInsteadOfSlots(t *testing.T) {
+	g := NewWithT(t)
+	servers := listed("north", "north")
+	limited := warmLoad(3)
+	limited.Slowdown, limited.Concurrency = 100, 3
+	got := countChoices(newBalancer(), servers, Request{}, map[mesh.ServerID]*contract.Load{"a0": limited, "a1": warmLoad(6)}, 100, 10*time.Millisecond)
+	g.Expect(got["a1"]).To(BeNumerically(">", 90), "%v", got)
+}
+
+// Guards against short requests that are expected to be late because the mean request is
+// long: their objective is shorter than the mean service time.
+func TestWorkOfARouteIsLearned(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer()
+	load := warmLoad(0)
+	for range 100 {
+		b.RecordWork("lookup", load.ServiceTime/4, load)
+	}
+	busy := warmLoad(9)
+	busy.Queued = 3
+	b.RecordWork("lookup", time.Minute, busy)
+	b.RecordWork("lookup", time.Minute, &contract.Load{})
+	g.Expect(b.work.of("lookup")).To(BeNumerically("~", 0.25, 0.01))
+	g.Expect(b.work.of("new")).To(Equal(1.0))
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -85,7 +85,7 @@
 	return &contract.Answer{
 		Status: 200, Header: http.Header{"X": {"y"}}, ContentLength: length,
 		Trailer: func() http.Header { return http.Header{"T": {"v"}} },
-		Load:    contract.Load{Running: 3, Limit: 9, State: host.StateWarm},
+		Load:    contract.Load{Running: 3, Limit: 9, State: host.StateWarm, Slowdown: 250, Concurrency: 4},
 		Body:    io.NopCloser(body),
 	}
 }
@@ -139,7 +139,7 @@
 		Expect(answer.Body.Close()).To(Succeed())
 		Expect(sha256.Sum256(got)).To(Equal(sha256.Sum256(data)))
 		Expect(answer.Trailer()).To(Equal(http.Header{"T": {"v"}}))
-		Expect(answer.Load).To(Equal(contract.Load{Running: 3, Limit: 9, State: host.StateWarm}))
+		Expect(answer.Load).To(Equal(contract.Load{Running: 3, Limit: 9, State: host.StateWarm, Slowdown: 250, Concurrency: 4}))
 	})
 
 	It("transfers the announced trailers of a request", func() {
--- a/internal/serverspeed/estimator.go
+++ b/internal/serverspeed/estimator.go
@@ -174,9 +174,10 @@
 
 // RecordRun records a completed run.
 func (e *Estimator) RecordRun(r Run, now time.Time) {
-	work := max(r.Took-r.CallWait, 0).Seconds()
+	calls := min(r.CallWait, r.Took)
+	work := (r.Took - calls).Seconds()
 	if r.Slowdown > 0 {
-		work /= r.Slowdown
+		work /= max(r.Slowdown, float64(minStatedPercent)/UsualPercent)
 	}
 	times := e.class(r.Class)
 	if times.samples >= minClassSamples && times.work > 0 {
@@ -187,7 +188,7 @@
 		e.gradient.add(r.Concurrency, work/times.reference, now)
 		work = min(work, maxUsualRatio*times.work)
 	}
-	times.add(work, r.CallWait.Seconds(), usualWeight)
+	times.add(work, calls.Seconds(), usualWeight)
 	e.mix.add(times.work, times.calls, mixWeight)
 	e.trackSlowPeriod(now)
 }
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -68,6 +68,8 @@
 	coldChecks coldChecks
 	// runs are the requests that the server is running.
 	runs activeRuns
+	// loggedConcurrency is the limited concurrency that was logged last.
+	loggedConcurrency atomic.Int64
 	// handedOver counts the requests that were sent to the server.
 	handedOver atomic.Uint64
 
@@ -206,6 +208,7 @@
 	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).Str("server", r.Server).
 		Str("reason", e.Reason.String()).Str("wants", admissionMode(r)).Str("state", load.State.String()).Int("running", load.Running).
 		Int("queued", load.Queued).Int("slots", load.Limit).Dur("service", load.ServiceTime).
+		Int("slowdown", load.Slowdown).Int("concurrency", load.Concurrency).
 		Uint64("revision", h.view().Revision).Dur("retry_after", e.RetryAfter).Msg("refused")
 }
 
@@ -397,6 +400,7 @@
 		a.Body = &pacedBody{ReadCloser: a.Body, ctx: ctx, delay: wait}
 	}
 	a.Load = h.Load()
+	h.logConcurrency(a.Load)
 	return &a.Answer, nil
 }
 
--- a/internal/sidecar/speed.go
+++ b/internal/sidecar/speed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"boragefall/internal/admission"
+	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/serverconn"
@@ -35,6 +36,16 @@
 	h.gate.RecordStated(r.Load.Slowdown)
 }
 
+// logConcurrency logs a change of the concurrency that the server handles well.
+func (h *LastHop) logConcurrency(load contract.Load) {
+	was, is := h.loggedConcurrency.Load(), int64(load.Concurrency)
+	if was == is || !h.loggedConcurrency.CompareAndSwap(was, is) {
+		return
+	}
+	h.logger.Info().Str("part", "gate").Int("concurrency", load.Concurrency).Int("slots", load.Limit).
+		Int("slowdown", load.Slowdown).Dur("service", load.ServiceTime).Msg("concurrency of the server changed")
+}
+
 // registerSpeedMetrics registers the metrics of the server's speed.
 func registerSpeedMetrics(m *telemetry.Metrics, hop *LastHop) {
 	m.Gauge("server_speed", "Present speed of the server beside this node relative to its usual speed.", func() float64 { return hop.gate.Speed().Factor })
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -141,7 +141,7 @@
 	view := t.dispatcher.view()
 	candidates := view.Usable[t.request.Service]
 	listing, fullFor := t.dispatcher.balancer.Choose(candidates, balance.Request{
-		BodyBytes: t.request.ContentLength, AnswerBytes: t.dispatcher.answerSizes.estimate(t.route.Name), Objective: t.request.Objective.Sub(now), LocalAddress: t.dispatcher.hop.address, Excluded: t.tried, Class: admissionClass(t.request),
+		BodyBytes: t.request.ContentLength, AnswerBytes: t.dispatcher.answerSizes.estimate(t.route.Name), Objective: t.request.Objective.Sub(now), LocalAddress: t.dispatcher.hop.address, Excluded: t.tried, Route: t.route.Name, Class: admissionClass(t.request),
 		ColdRate: view.Config.Services[t.request.Service].ColdRate, Senders: len(view.Servers),
 	}, now)
 	if listing == nil && fullFor > 0 {
@@ -199,6 +199,7 @@
 	}
 	now := time.Now()
 	if err == nil {
+		d.balancer.RecordWork(r.Route, answer.GateTime, &answer.Load)
 		d.balancer.Finish(listing.ID, &answer.Load, now.Sub(sentAt)-answer.GateTime, now)
 		if d.headers.ReadServerNotice(answer.Header).Leaving {
 			// The gate may be of a build that does not read this, or restart and forget it.
