Follow the usual time of classes with few runs within ten seconds

With a fixed weight a class with one run a second took a minute. Abandoned runs are counted at usual speed. go test ./internal/{serverspeed,admission} passes.

--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -175,8 +175,9 @@
 // bound of the service time.
 func (m *Machine) Abandon(t *Ticket, elapsed time.Duration) {
 	m.running--
-	if elapsed > m.expectedServiceTime(t.request.Class, t.startedAt.Add(elapsed)) {
-		m.recordServiceTime(t.request.Class, elapsed)
+	now := t.startedAt.Add(elapsed)
+	if elapsed > m.expectedServiceTime(t.request.Class, now) {
+		m.recordServiceTime(t.request.Class, time.Duration(float64(elapsed)*m.speed.Speed(now)))
 	}
 }
 
--- a/internal/serverspeed/estimator.go
+++ b/internal/serverspeed/estimator.go
@@ -1,11 +1,11 @@
 // Package serverspeed estimates how fast one backend server works at the moment and how
 // many requests it runs well at once. It runs beside the server, in its gate.
 //
-// The service time of a run is explained by three factors: the usual work of its class on
-// this server, which changes slowly; the slowdown of the machine, which the server states
-// or which is learned from recent runs; and the number of requests that ran at the same
-// time. Each factor is estimated after the others were divided out, so that neither a
-// change of the mix of classes nor a busy server is taken for a change of speed.
+// The time of a run is explained by the usual work of its class on this server, which
+// changes slowly, and the slowdown of the machine, which the server states or which recent
+// runs show relative to the usual work. A change of the mix of classes is therefore no
+// change of speed. How run times depend on the number of running requests is measured
+// within short windows, in which neither changes much.
 //
 // The package has no clock: every function takes the time. Nothing in it is safe for
 // concurrent use.
@@ -28,11 +28,14 @@
 	// vary by about a third; with this weight the usual time varies by a few percent. Until
 	// it has followed a change that lasts, the learned slowdown explains the difference.
 	usualWeight = 0.02
+	// usualMemory is the time in which the usual time of a class with few runs follows a
+	// change; maxUsualWeight bounds the weight of one of those runs.
+	usualMemory, maxUsualWeight = 10 * time.Second, 0.2
 	// maxUsualRatio bounds a sample to a multiple of the usual time.
 	maxUsualRatio = 4
 	// mixWeight is the weight of a run in the mean over the mix of classes. It is lower
 	// than usualWeight, so that a short change of the mix hardly changes the mean.
-	mixWeight = 0.02
+	mixWeight = 0.01
 	// learnedWeight is the weight of a run in the learned slowdown: at 50 runs a second a
 	// change is followed within a quarter of a second after the first slow run has ended.
 	learnedWeight = 0.125
@@ -88,6 +91,8 @@
 	// work is the time of a run at usual speed without its calls, calls the time in which
 	// its calls were in progress.
 	work, calls float64
+	// at is the time of the latest run.
+	at time.Time
 	// reference is work at the begin of the given window of the gradient.
 	reference float64
 	window    uint32
@@ -188,7 +193,9 @@
 		e.gradient.add(r.Concurrency, work/times.reference, now)
 		work = min(work, maxUsualRatio*times.work)
 	}
-	times.add(work, calls.Seconds(), usualWeight)
+	elapsed := min(now.Sub(times.at).Seconds()/usualMemory.Seconds(), maxUsualWeight)
+	times.add(work, calls.Seconds(), max(elapsed, usualWeight))
+	times.at = now
 	e.mix.add(times.work, times.calls, mixWeight)
 	e.trackSlowPeriod(now)
 }
--- a/internal/serverspeed/gradient.go
+++ b/internal/serverspeed/gradient.go
@@ -17,8 +17,9 @@
 	minWindowRuns = 20
 	// spreadOfGrowth is the spread of a window that counts as much as all before it.
 	spreadOfGrowth = 1.0
-	// growthMargin is the deviation of the growth from 0 from which the limit moves: five times the random error of a server whose run
-	// times do not depend on the concurrency.
+	// growthMargin is the deviation of the growth from 0 from which the limit moves. The
+	// growth of a server whose run times do not depend on the concurrency is 1, five times
+	// its random error above.
 	growthMargin = 0.1
 	// minDecrease and maxDecrease bound the share of the limit by which it falls at a time.
 	minDecrease, maxDecrease = 0.1, 0.25
