Use windows with little spread for the concurrency, and one first trial

A server that was full from its start never showed that fewer requests are better for it. Evidence of several windows is added up, and such a server gets one trial after ten seconds. Requests are handed back only if they would be on time at usual speed behind as long a queue.

go test ./internal/{admission,balance,serverspeed,sidecar} passes.

--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -91,8 +91,8 @@
 }
 
 // handBack refuses the waiting requests that would miss their objective because the server
-// has become slow, and could still meet it at a server of usual speed. Requests with prior
-// work stay: if no other gate took them, that work would be lost.
+// has become slow, and would meet it at a server of usual speed with a queue as long as
+// here. Requests with prior work stay: if no other gate took them, that work would be lost.
 func (m *Machine) handBack(now time.Time) {
 	if len(m.waiting) == 0 {
 		return
@@ -105,7 +105,7 @@
 		}
 		class := t.request.Class
 		finish := now.Add(m.turnoverWait(ahead, now) + m.expectedServiceTime(class, now))
-		elsewhere := now.Add(handBackTransit + m.speed.UsualTime(class))
+		elsewhere := now.Add(handBackTransit + m.turnover(ahead, m.speed.MeanUsualTime()) + m.speed.UsualTime(class))
 		return finish.After(t.request.Objective) && !elsewhere.After(t.request.Objective)
 	}, now)
 }
@@ -113,12 +113,17 @@
 // turnoverWait estimates how long a request waits for a slot behind the running requests
 // and a number of waiting ones.
 func (m *Machine) turnoverWait(ahead int, now time.Time) time.Duration {
+	return m.turnover(ahead, m.speed.MeanTime(now))
+}
+
+// turnover returns that wait for a mean service time.
+func (m *Machine) turnover(ahead int, serviceTime time.Duration) time.Duration {
 	concurrency := m.speed.Concurrency()
 	busy := m.running + ahead - concurrency + 1
 	if busy <= 0 {
 		return 0
 	}
-	return time.Duration(busy) * m.speed.MeanTime(now) / time.Duration(concurrency)
+	return time.Duration(busy) * serviceTime / time.Duration(concurrency)
 }
 
 // recordServiceTime records the time of a run that did not end by itself.
--- a/internal/serverspeed/gradient.go
+++ b/internal/serverspeed/gradient.go
@@ -9,10 +9,10 @@
 	// gradientWindow is the time over which runs are compared with each other. What changes
 	// more slowly, such as the mix of classes or the speed of the machine, hardly counts.
 	gradientWindow = 2 * time.Second
-	// minSpread is the least sum of squared deviations of the concurrency in a window, as
-	// shares of the slots. Run times vary by a third, so that the random error of the growth
-	// is a third at most.
-	minSpread = 1.0
+	// minSpread is the least sum of squared deviations of the concurrency, as shares of the
+	// slots, that shows the growth. Run times vary by a third, so that its random error is a
+	// third at most. spreadDecay is the share that is kept of earlier windows with less.
+	minSpread, spreadDecay = 1.0, 0.8
 	// minWindowRuns is the least number of runs in a window that shows anything.
 	minWindowRuns = 20
 	// spreadOfGrowth is the spread of a window that counts as much as all before it.
@@ -44,6 +44,9 @@
 	// without that cost a third of the throughput of all servers at once, at the begin of
 	// an overload.
 	trialGrowth = 0.5
+	// firstTrialWindows is the number of windows in a row in which a server was full before
+	// it ever showed its growth, after which a trial is made without that reason.
+	firstTrialWindows = 5
 )
 
 // gradient finds the concurrency up to which the throughput of a server grows, from how
@@ -57,6 +60,13 @@
 	// growth is the relative growth of the throughput with the concurrency at the limit,
 	// from 1 where run times do not depend on it to below 0 where less is better.
 	growth float64
+	// spread and covariance are the sums of squared deviations of x and of the products
+	// with those of y, each within its window, since the growth was last evaluated.
+	spread, covariance float64
+	// known reports that the growth was evaluated, and fullWindows counts the windows in a
+	// row in which the server was full.
+	known       bool
+	fullWindows int
 
 	// windowStart is when the present window began. The sums are over its runs, with x the
 	// concurrency as a share of the slots and y the logarithm of the relative time.
@@ -92,10 +102,9 @@
 func (g *gradient) window(now time.Time) uint32 {
 	if now.Sub(g.windowStart) >= gradientWindow {
 		g.evaluate(now)
-		*g = gradient{
-			slots: g.slots, limit: g.limit, growth: g.growth, windowStart: now,
-			trialUntil: g.trialUntil, nextTrial: g.nextTrial, trialInterval: g.trialInterval, windows: g.windows + 1,
-		}
+		g.windowStart, g.windows = now, g.windows+1
+		g.runs, g.runsAtLimit = 0, 0
+		g.sumX, g.sumY, g.sumXX, g.sumXY = 0, 0, 0, 0
 	}
 	return g.windows
 }
@@ -117,24 +126,39 @@
 // evaluate moves the limit by what the window showed.
 func (g *gradient) evaluate(now time.Time) {
 	n := float64(g.runs)
-	spread := g.sumXX - g.sumX*g.sumX/max(n, 1)
+	if g.runs >= minWindowRuns {
+		g.spread = spreadDecay*g.spread + g.sumXX - g.sumX*g.sumX/n
+		g.covariance = spreadDecay*g.covariance + g.sumXY - g.sumX*g.sumY/n
+	}
 	full := float64(g.runsAtLimit) > fullShare*n
+	if g.fullWindows++; !full {
+		g.fullWindows = 0
+	}
 	switch {
 	case g.runs < minWindowRuns:
 		g.raise(limitRecovery)
-	case spread >= minSpread:
-		slope := (g.sumXY - g.sumX*g.sumY/n) / spread
+	case g.spread >= minSpread:
+		slope := g.covariance / g.spread
 		growth := 1 - slope*g.limit/float64(g.slots)
-		g.growth += spread / (spread + spreadOfGrowth) * (growth - g.growth)
+		g.growth += g.spread / (g.spread + spreadOfGrowth) * (growth - g.growth)
+		g.known, g.spread, g.covariance = true, 0, 0
 		g.move(slope, now)
 	case g.runsAtLimit == 0:
 		g.raise(limitRecovery)
-	case full && g.growth < trialGrowth && now.After(g.nextTrial):
+	case full && g.suspects() && now.After(g.nextTrial):
 		g.trialUntil, g.nextTrial = now.Add(trialTime), now.Add(g.trialInterval)
 		g.trialInterval = min(2*g.trialInterval, maxTrialInterval)
 	}
 }
 
+// suspects reports whether a server that is full may do better with fewer requests.
+func (g *gradient) suspects() bool {
+	if !g.known {
+		return g.fullWindows >= firstTrialWindows
+	}
+	return g.growth < trialGrowth
+}
+
 // move moves the limit towards the concurrency at which the growth is 0, given the slope
 // of the last window.
 func (g *gradient) move(slope float64, now time.Time) {
