Set the pace of simulated servers under their lock

The race detector reported that a health check read it at the same time. The race is in the test only. go test -race on the load tests of ./internal/sidecar passes.

--- a/internal/sidecar/speed_test.go
+++ b/internal/sidecar/speed_test.go
@@ -32,9 +32,13 @@
 		services: services, routes: map[string]loadRoute{"visit": visit}, phases: []loadPhase{{5 * time.Second, 1}},
 		setUp: func(w *loadSimulation) {
 			for _, n := range w.nodes {
-				if pace != nil {
-					n.pace = pace(w)
+				if pace == nil {
+					continue
 				}
+				changes := pace(w)
+				n.mu.Lock() // its first health check is in progress
+				n.pace = changes
+				n.mu.Unlock()
 			}
 		},
 	})
