--- a/internal/admission/nested.go
+++ b/internal/admission/nested.go
@@ -103,7 +103,7 @@
 // holds a slot of its own server meanwhile. A run whose earlier calls were answered is
 // worth the whole wait.
 func (m *Machine) maxCallWait(r Request, delay time.Duration, now time.Time) time.Duration {
-	left := now.Add(delay + m.expectedServiceTime(r.Class))
+	left := now.Add(delay + m.expectedServiceTime(r.Class, now))
 	toObjective, toDeadline := max(r.Objective.Sub(left), 0), r.Deadline.Sub(left)
 	toObjective = min(toObjective, toDeadline)
 	prompt := min(toDeadline, time.Duration(promptWaitShare*float64(max(r.Objective.Sub(now), 0))))
@@ -149,7 +149,7 @@
 		case m.held:
 			return false // it chose to wait here, after other gates refused it
 		default:
-			finish := now.Add(m.waitBehind(t, calls, now) + m.expectedServiceTime(t.request.Class)/slotTurnoverFactor)
+			finish := now.Add(m.waitBehind(t, calls, now) + m.expectedServiceTime(t.request.Class, now)/slotTurnoverFactor)
 			calls++
 			return finish.After(t.request.Deadline)
 		}
--- a/internal/admission/patience.go
+++ b/internal/admission/patience.go
@@ -26,7 +26,7 @@
 	if r.Nested {
 		return wait <= m.maxCallWait(r, delay, now)
 	}
-	finish := now.Add(delay + wait + m.expectedServiceTime(r.Class))
+	finish := now.Add(delay + wait + m.expectedServiceTime(r.Class, now))
 	slack := r.Objective.Sub(finish) + wait
 	if wait <= m.maxWait(r, slack, r.Objective.Sub(now)-delay, now) {
 		return true
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -48,13 +48,25 @@
 	// serviceTimeDecay is the time constant for a server's service time, which changes
 	// more slowly.
 	serviceTimeDecay = 4 * time.Second
+	// usualTimeDecay is the time constant for the service time at usual speed, which
+	// differs from server to server and rarely changes.
+	usualTimeDecay = 30 * time.Second
+	// slowdownDecay is the time constant for a slowdown: slow periods last 0.6 s.
+	slowdownDecay = 300 * time.Millisecond
+	// minSlowdown and maxSlowdown bound the slowdown that a gate reports, in percent.
+	minSlowdown, maxSlowdown = 25, 2000
 	// delayDecay is the time constant for a long network delay to a gate: a host that is
 	// slow or cut off stays so for seconds, and each entry node sends to a server of a
 	// large service only every few seconds.
 	delayDecay = 4 * time.Second
+	// utilizationWeight is the weight of a load report in the mean utilization.
+	utilizationWeight = 0.05
 	// utilizationPenalty is the relative cost of a busy server with free slots over an
 	// idle one: servers slow down towards their last slots.
 	utilizationPenalty = 0.4
+	// crowdingCost is the cost of a server without a free slot, in mean service times: its
+	// gate refuses the request, and another one has to be asked.
+	crowdingCost = 2
 	// failureCost is the cost of a server that fails every request.
 	failureCost = 2 * time.Second
 	// silenceFactor is the number of service times that a server may be silent with a
@@ -92,6 +104,8 @@
 	// LocalAddress is the address of the server on this host; a body for it crosses no
 	// link.
 	LocalAddress string
+	// Route groups requests with similar work.
+	Route string
 	// Class groups requests that a full gate refuses alike.
 	Class string
 	// Excluded holds the servers that must not be chosen, since they were tried already.
@@ -109,7 +123,11 @@
 
 	mu      sync.Mutex
 	servers map[mesh.ServerID]*serverState
-	sweptAt time.Time
+	// utilization is the mean share of busy slots in recent reports of warm servers; servers without
+	// a recent one are expected to be as busy as the others.
+	utilization float64
+	work        routeWork
+	sweptAt     time.Time
 }
 
 // serverState is what this node has observed of a server.
@@ -150,7 +168,7 @@
 // New returns the balancer of a node in a data centre. random returns values from 0 to 1
 // and is called by one goroutine at a time.
 func New(dataCentre string, random func() float64) *Balancer {
-	return &Balancer{dataCentre: dataCentre, random: random, servers: map[mesh.ServerID]*serverState{}}
+	return &Balancer{dataCentre: dataCentre, random: random, servers: map[mesh.ServerID]*serverState{}, work: newRouteWork()}
 }
 
 // Choose returns the best of the listed servers and counts the request as outstanding
@@ -161,7 +179,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
-	meanServiceTime := b.meanServiceTime(listed)
+	meanServiceTime, work := b.meanServiceTime(listed), b.work.of(r.Route)
 	var best, bestLocal *catalog.Listing
 	var retryIn time.Duration
 	bestCost, bestLocalCost := math.Inf(1), localThreshold*r.Objective.Seconds()
@@ -176,7 +194,7 @@
 			}
 			continue
 		}
-		cost := b.cost(l, r, meanServiceTime, now)
+		cost := b.cost(l, r, meanServiceTime, work, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = l, cost
 		}
@@ -252,6 +270,10 @@
 	}
 	s.recordDelay(delay, now)
 	s.load, s.loadAt, s.sentSinceLoad, s.answerBytesSinceLoad, s.silentSince = *load, now, 0, 0, now
+	if load.Limit > 0 && load.State == host.StateWarm {
+		share := float64(load.Running+load.Queued) / s.concurrency(load.Limit)
+		b.utilization += utilizationWeight * (min(share, 1) - b.utilization)
+	}
 	if load.ServiceTime > 0 {
 		s.serviceTime = load.ServiceTime
 	}
@@ -340,20 +362,19 @@
 }
 
 // cost returns the expected time until an answer in seconds, with other disadvantages of
-// a server added as time.
-func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, now time.Time) float64 {
+// a server added as time. work is the work of the request relative to the mean.
+func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, work float64, now time.Time) float64 {
 	s := b.stateOf(l.ID, now)
 	age := now.Sub(s.loadAt)
-	serviceTime := meanServiceTime
-	if s.serviceTime > 0 {
-		serviceTime += time.Duration(float64(s.serviceTime-meanServiceTime) * decay(age, serviceTimeDecay))
-	}
-	slots := max(l.Slots, 1)
-	reportedLoad := float64(s.load.Running+s.load.Queued) * decay(age, loadDecay)
+	serviceTime := s.expectedServiceTime(meanServiceTime, age)
+	concurrency := s.concurrency(l.Slots)
+	usualLoad := b.utilization * concurrency
+	reportedLoad := usualLoad + (float64(s.load.Running+s.load.Queued)-usualLoad)*decay(age, loadDecay)
 	busy := max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
-	cost := serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/float64(slots), 1))
-	if excess := busy + 1 - float64(slots); excess > 0 {
-		cost += serviceTime.Seconds() * excess / float64(slots)
+	cost := meanServiceTime.Seconds() * crowdingCost * crowding(min(busy/concurrency, 1))
+	cost += work * serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
+	if excess := busy + 1 - concurrency; excess > 0 {
+		cost += serviceTime.Seconds() * excess / concurrency
 	}
 	cost += s.limitWait(age).Seconds()
 	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.LocalAddress {
@@ -370,7 +391,7 @@
 	cost += failureCost.Seconds() * s.load.FailureRate * decay(age, serviceTimeDecay)
 	if s.outstanding > 0 {
 		// A host that lost power or hangs sends no answer.
-		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*serviceTime.Seconds(), 0)
+		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*max(work, 1)*serviceTime.Seconds(), 0)
 	}
 	cost *= 1 + costJitter*(2*b.random()-1)
 	if l.DataCentre != b.dataCentre {
@@ -383,6 +404,35 @@
 	return cost + b.availabilityCost(l, s, r, now)
 }
 
+// expectedServiceTime returns the service time at the server's present speed, as far as a
+// load report of a given age shows it.
+func (s *serverState) expectedServiceTime(mean, age time.Duration) time.Duration {
+	if s.serviceTime <= 0 {
+		return mean
+	}
+	if s.load.Slowdown <= 0 {
+		return mean + time.Duration(float64(s.serviceTime-mean)*decay(age, serviceTimeDecay))
+	}
+	usual := float64(mean) + float64(s.serviceTime-mean)*decay(age, usualTimeDecay)
+	return time.Duration(usual * (1 + (slowdownOf(&s.load)-1)*decay(age, slowdownDecay)))
+}
+
+// crowding returns how likely a server is full whose expected share of busy slots is given.
+// Reports are rare and old, so it may be full before it is expected to be, but hardly
+// below two thirds.
+func crowding(busy float64) float64 {
+	square := busy * busy
+	return square * square * square * square
+}
+
+// concurrency returns the number of requests that the server handles well at once.
+func (s *serverState) concurrency(slots int) float64 {
+	if s.load.Concurrency > 0 {
+		slots = min(slots, s.load.Concurrency)
+	}
+	return float64(max(slots, 1))
+}
+
 // availabilityCost returns the cost that defers a server until no other is left.
 func (b *Balancer) availabilityCost(l *catalog.Listing, s *serverState, r Request, now time.Time) float64 {
 	unusable := s.load.State == host.StateLeaving || s.load.State == host.StateDown
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -92,7 +92,13 @@
 		results: make(chan result, maxCallReroutes+route.MaxAttempts+2),
 		cancels: map[mesh.ServerID]context.CancelFunc{},
 	}
+	if parent != nil {
+		parent.calls.begin(time.Now())
+	}
 	answer, err := t.run(ctx)
+	if parent != nil {
+		parent.calls.end(time.Now())
+	}
 	t.cancelExcept(answer)
 	d.recordCall(parent, r, err)
 	if answer == nil {
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -69,6 +69,8 @@
 	runs activeRuns
 	// callBudget limits the runs whose calls are being refused.
 	callBudget *callbudget.Budget
+	// loggedConcurrency is the limited concurrency that was logged last.
+	loggedConcurrency atomic.Int64
 	// handedOver counts the requests that were sent to the server.
 	handedOver atomic.Uint64
 
@@ -223,6 +225,7 @@
 	h.logger.Info().Str("part", "gate").Str("request", r.ID).Str("route", r.Route).Str("server", r.Server).
 		Str("reason", e.Reason.String()).Str("wants", admissionMode(r)).Str("state", load.State.String()).Int("running", load.Running).
 		Int("queued", load.Queued).Int("slots", load.Limit).Dur("service", load.ServiceTime).
+		Int("slowdown", load.Slowdown).Int("concurrency", load.Concurrency).
 		Uint64("era", h.view().Version.Era).Uint64("revision", h.view().Version.Revision).AnErr("cause", e.Cause).Dur("retry_after", e.RetryAfter).Msg("refused")
 }
 
@@ -290,6 +293,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed = h.respondingServer != "" && h.respondingServer != id
+	if changed {
+		h.gate.ResetSpeed()
+	}
 	h.respondingServer, h.respondedAt = id, time.Now()
 	return changed
 }
@@ -324,7 +330,8 @@
 		budgeted.Withdraw(time.Now())
 		return nil, verdict.Refuse(verdict.ReasonFenced, shortRetryAfter)
 	}
-	h.runs.begin(r.ID, &run{isRetry: r.Attempt > 0, rank: r.Rank, budget: budgeted})
+	started := &run{isRetry: r.Attempt > 0, rank: r.Rank, budget: budgeted}
+	h.runs.begin(r.ID, started)
 	h.handedOver.Add(1)
 	h.checkColdIfStale(time.Now())
 	sentAt, listing := time.Now(), h.view().Servers[mesh.ServerID(r.Server)]
@@ -333,6 +340,7 @@
 	}})
 	h.runs.end(r.ID)
 	budgeted.End(time.Now())
+	h.observeSpeed(permit, started, answer)
 	if err != nil {
 		return nil, h.handleFailure(r, permit, verdict.FromError(err), sentAt)
 	}
@@ -411,6 +419,7 @@
 	}
 	a.Body = reservation.send(ctx, r, &a.Answer)
 	a.Load = h.Load()
+	h.logConcurrency(a.Load)
 	return &a.Answer, nil
 }
 
@@ -471,6 +480,9 @@
 	if restarted && h.limit.reset() {
 		h.applyLimit("server was restarted")
 	}
+	if restarted {
+		h.gate.ResetSpeed()
+	}
 	if restarted || h.evacuated && !evacuated {
 		// A restarted process is cold, and a server of an evacuated data centre may be.
 		h.prober.holdAndProbe(false)
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -45,6 +45,10 @@
 	notice    protocol.ServerNotice
 	noticedAt time.Time
 	arrivedAt []time.Time
+	// pace is how the speed of the server changes; nil if it does not.
+	pace *loadPace
+	// running is the number of requests that the server runs.
+	running int
 	// extraDelay is added to each message in either direction.
 	extraDelay time.Duration
 }
@@ -84,7 +88,7 @@
 	if r.ServerRequest.Probe {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id), Notice: n.notice}), nil
+		return serverAnswer(http.StatusOK, protocol.ServerResponse{Signed: true, Server: mesh.ServerID(n.id), Notice: n.notice, Load: n.pace.load(time.Now())}), nil
 	}
 	n.mu.Lock()
 	n.arrivedAt = append(n.arrivedAt, time.Now())
@@ -96,10 +100,16 @@
 	route := n.simulation.routes[r.Route]
 	n.mu.Lock()
 	n.runs++
+	n.running++
 	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.running--
+	}()
 	status := http.StatusOK
 	work := time.Duration(float64(n.simulation.random.sampleDuration(route.work)) / n.speed)
-	sleepContext(ctx, work/2)
+	n.work(ctx, work/2)
 	if float64(r.Fingerprint)/math.MaxUint32 < route.callShare {
 		for range route.calls {
 			if !n.call(ctx, r, route.callRoute, retry) {
@@ -109,7 +119,7 @@
 		}
 	}
 	if status == http.StatusOK {
-		sleepContext(ctx, work/2)
+		n.work(ctx, work/2)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -120,7 +130,7 @@
 	if status != http.StatusOK {
 		n.wasted++
 	}
-	answer := serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice})
+	answer := serverAnswer(status, protocol.ServerResponse{Signed: true, Notice: n.notice, Load: n.pace.load(time.Now())})
 	if route.answerBytes > 0 && status == http.StatusOK {
 		answer.ContentLength = n.simulation.random.sampleBytes(route.answerBytes)
 		answer.Body = io.NopCloser(io.LimitReader(zeroReader{}, answer.ContentLength))
--- a/internal/sidecar/runs.go
+++ b/internal/sidecar/runs.go
@@ -22,6 +22,8 @@
 	rank int
 	// budget records the outcomes of the calls; nil records none.
 	budget *callbudget.Run
+	// calls measures the time in which nested calls of the run are in progress.
+	calls callWait
 }
 
 // activeRuns holds the requests that the server beside this node is running, by ID. It
