Bound what untrusted clients can take from a node

Cause: net/http keeps some 130 bytes for each line of a head, so heads within 64 KiB (callers) or 1 MiB (readiness, metrics) take twenty times their length; neither connections, links, streams nor their bytes were bounded, a message on a link was allocated at the length it states, a body sent without a request for it was read whole, and a plain node ignored memory-mb.

Change: internal/listen bounds the connections of each HTTP listener and the memory of all heads, derived from memory-mb and the new max-fds; it closes the connection that sits longest in an unfinished head or idle, never one whose request is served. Links: places for links and streams, 10 s for a stream's first message, 256 KiB a message, buffers that grow as bytes arrive, and an account of the bytes kept for each link. Metric connections_closed_total, one line in 10 s. Plain nodes keep their heap under memory-mb, too.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -52,6 +52,7 @@
 	if s.Store != "" {
 		return runSidecar(ctx, signals, s)
 	}
+	limitMemory(s)
 	logger := telemetry.NewLogger(s.LogLevel, streams.Err)
 	n, err := node.Start(ctx, s, node.Options{Logger: logger, Stdout: streams.Out})
 	if err != nil {
--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -92,6 +92,11 @@
 	}
 	b.unread = b.chunk.GetData()
 	b.total += uint64(len(b.unread))
+	if b.length >= 0 && b.total > uint64(b.length) {
+		// The bytes beyond the stated length belong to no body.
+		b.err, b.unread = eris.Wrapf(ErrTruncated, "more than %d bytes", b.length), nil
+		return
+	}
 	if b.chunk.GetEnd() {
 		b.err = b.checkEnd()
 		if b.onEnd != nil {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
 	"boragefall/internal/bootclock"
@@ -44,6 +45,10 @@
 	return &Server{runner: runner, version: version, logger: logger, transit: transit.NewMeter()}
 }
 
+// errInlineTooLong reports a body that a peer sends without a request for it although only
+// short ones may be sent so.
+var errInlineTooLong = eris.New("body sent unrequested is too long")
+
 // Serve handles one request and returns when the exchange has ended.
 func (s *Server) Serve(ctx context.Context, head *wire.RequestHead, stream *link.Stream) {
 	receivedAt := time.Now()
@@ -63,7 +68,10 @@
 		// The body follows the head without being requested. Once it has been read,
 		// the end of the stream means that the caller disconnected. Reading it first
 		// detects this also while the request is queued for a slot.
-		data, err := io.ReadAll(body)
+		data, err := io.ReadAll(io.LimitReader(body, continueThresholdBytes+1))
+		if len(data) > continueThresholdBytes {
+			err = errInlineTooLong
+		}
 		r.Body, r.BodyBuffered = bytes.NewReader(data), true
 		if err != nil {
 			r.Body = io.MultiReader(r.Body, failedBody{err})
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -27,6 +27,8 @@
 	// the connection ends. It is enforced by TCP keep-alive and TCP_USER_TIMEOUT.
 	// Default 0: no limit.
 	UnackedTimeout time.Duration
+	// Limits bounds what the peers of a listener can take. Default: no limits.
+	Limits Limits
 	// RedialBackoffBase is the shortest delay before redialling a peer. Default 50 ms.
 	RedialBackoffBase time.Duration
 	// RedialBackoffMax is the longest delay before redialling a peer. Default 3 s.
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -9,8 +9,10 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"boragefall/internal/listen"
 	"boragefall/internal/wire"
 )
 
@@ -29,6 +31,7 @@
 	logger        *log.Logger
 	listener      net.Listener
 	acceptLimiter *rate.Limiter
+	intake        *intake
 
 	mu         sync.Mutex
 	sessions   map[*yamux.Session]acceptedLink
@@ -40,6 +43,8 @@
 type acceptedLink struct {
 	class Class
 	conn  *coalescingConn
+	place *listen.Place
+	inbox *inbox
 }
 
 // NewListener returns a Listener that accepts connections from a TCP listener.
@@ -53,6 +58,7 @@
 		logger:        logger,
 		listener:      listener,
 		acceptLimiter: rate.NewLimiter(rate.Limit(cfg.AcceptsPerSecond), cfg.AcceptBurst),
+		intake:        newIntake(cfg.Limits),
 		sessions:      map[*yamux.Session]acceptedLink{},
 	}
 }
@@ -85,11 +91,18 @@
 
 func (l *Listener) serveConn(ctx context.Context, conn net.Conn) {
 	defer l.goroutines.Done()
+	place := l.intake.links.Enter(func() { _ = conn.Close() }, time.Now())
+	if place == nil {
+		return
+	}
+	defer place.Leave()
 	session, accepted, err := l.handshake(conn)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
+	accepted.place = place
+	defer l.intake.inboxes.remove(accepted.inbox)
 	if !l.track(session, accepted) {
 		_ = session.Close()
 		return
@@ -100,8 +113,12 @@
 		if err != nil {
 			return
 		}
+		if l.intake.overStreams(session) {
+			l.intake.excessive()
+			return
+		}
 		l.goroutines.Add(1)
-		go l.serveStream(ctx, session, accepted.class, stream)
+		go l.serveStream(ctx, session, accepted, stream)
 	}
 }
 
@@ -120,7 +137,8 @@
 		return nil, acceptedLink{}, ErrMalformed
 	}
 	accepted := acceptedLink{class: class, conn: newCoalescingConn(conn)}
-	counted := &countedConn{Conn: accepted.conn, counter: l.counter, class: class}
+	accepted.inbox = l.intake.inboxes.newInbox(accepted.conn)
+	counted := &countedConn{Conn: accepted.inbox, counter: l.counter, class: class}
 	session, err := yamux.Server(counted, l.cfg.yamux())
 	if err != nil {
 		_ = counted.Close()
@@ -129,21 +147,49 @@
 	return session, accepted, nil
 }
 
-func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, class Class, conn *yamux.Stream) {
+func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, accepted acceptedLink, conn *yamux.Stream) {
 	defer l.goroutines.Done()
-	stream := newStream(conn)
+	// An error of a deadline shows in the read. The place's loss expires it later.
+	_ = conn.SetReadDeadline(time.Now().Add(openingTimeout))
+	place := l.intake.streams.Enter(func() { _ = conn.SetDeadline(pastDeadline) }, time.Now())
+	if place == nil {
+		_ = inboxConn{conn, accepted.inbox}.Close()
+		return
+	}
+	defer place.Leave()
+	stream := newStream(inboxConn{conn, accepted.inbox})
+	stream.maxMessage = maxIncomingBytes
 	defer stream.Close()
 	opening := &wire.Opening{}
-	if err := stream.Receive(opening); err != nil {
+	if err := l.receiveOpening(stream, place, opening); err != nil {
 		l.closeIfMalformed(session, err)
 		return
 	}
+	if !accepted.place.Begin(time.Now()) {
+		return // the link was closed
+	}
+	defer func() { accepted.place.End(time.Now()) }()
 	if hello := opening.GetHello(); hello != nil {
 		_ = stream.Send(l.self.hello())
 		_ = stream.Flush()
 		return
 	}
-	l.handler.ServeStream(ctx, class, opening, stream)
+	l.handler.ServeStream(ctx, accepted.class, opening, stream)
+}
+
+// receiveOpening receives the first message of a stream and takes its read deadline away.
+func (l *Listener) receiveOpening(stream *Stream, place *listen.Place, opening *wire.Opening) error {
+	size, err := stream.receive(opening)
+	if err != nil {
+		return err
+	}
+	if !place.Begin(time.Now()) {
+		return ErrClosed
+	}
+	if !keepOpening(stream.conn, opening, size) {
+		return eris.Wrapf(ErrMalformed, "more than %d headers", maxOpeningHeaders)
+	}
+	return stream.conn.SetReadDeadline(time.Time{})
 }
 
 // closeIfMalformed closes the link if err shows that the peer violated the
@@ -152,7 +198,13 @@
 	if !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrFrameTooLong) {
 		return
 	}
-	l.logger.Warn().Str("part", "link").Str("peer", session.RemoteAddr().String()).Err(err).Msg("malformed message, closing link")
+	if session.IsClosed() {
+		return
+	}
+	l.intake.malformed()
+	l.intake.lines.Do(func() {
+		l.logger.Warn().Str("part", "link").Str("peer", session.RemoteAddr().String()).Err(err).Msg("malformed message, closing link")
+	})
 	_ = session.Close()
 }
 
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	writer    *bufio.Writer
 	unbind    func() bool
 	closeOnce sync.Once
+	// maxMessage bounds the messages received; 0 means MaxFrameBytes.
+	maxMessage int
 }
 
 func newStream(conn net.Conn) *Stream {
@@ -67,7 +70,24 @@
 
 // Receive reads the next message into m.
 func (s *Stream) Receive(m proto.Message) error {
-	return ReadFrame(s.reader, m)
+	_, err := s.receive(m)
+	return err
+}
+
+// receive reads the next message and returns its size.
+func (s *Stream) receive(m proto.Message) (int, error) {
+	box, accounted := s.conn.(inboxConn)
+	held := 0
+	size, err := readFrame(s.reader, m, cmp.Or(s.maxMessage, MaxFrameBytes), func(n int) {
+		if accounted {
+			held += n
+			box.box.keep(box.StreamID(), int64(n))
+		}
+	})
+	if held > 0 {
+		box.box.keep(box.StreamID(), int64(-held))
+	}
+	return size, err
 }
 
 // AwaitData blocks until data can be received. It returns an error if the stream
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -29,7 +29,7 @@
 	})
 	engine.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, status.read()) })
 	engine.GET("/fleet", func(c *gin.Context) { c.JSON(http.StatusOK, f.read(c.Request.Context())) })
-	return admin{&http.Server{Handler: engine, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}}
+	return admin{&http.Server{Handler: engine}}
 }
 
 func registerGauges(status *statusReader, m *telemetry.Metrics) {
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -23,6 +23,7 @@
 	"boragefall/internal/lasthop"
 	"boragefall/internal/ledger"
 	"boragefall/internal/link"
+	"boragefall/internal/listen"
 	"boragefall/internal/membership"
 	"boragefall/internal/retry"
 	"boragefall/internal/routing"
@@ -51,7 +52,7 @@
 		control.NewClient, newPlatform, newBackend, newGate, newLedger, provideOwner,
 		routing.NewStatsRegistry, newDirectory, newDirectoryUpdater, newRegistry, newApplier, newRunner,
 		newPolicy, newHop, newDispatcher, newAdmitter, newBodies, newCallers, newStreams, newLinkListener,
-		provideMaintenance, newStatusReader, newFleet, newAdmin, newStopper,
+		provideMaintenance, newStatusReader, newFleet, newAdmin, newStopper, newGuard,
 	),
 	fx.Invoke(startLinks, startWorkers, startServers, startStopper),
 )
@@ -174,11 +175,7 @@
 // callers is the HTTP server for callers.
 type callers struct{ *http.Server }
 
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
-)
+const idleTimeout = 60 * time.Second
 
 // Memory limits for buffered request bodies, sized for small hosts.
 const (
@@ -198,10 +195,12 @@
 		Bodies: bodies, Admitter: admitter,
 		Tracer: t, Meter: m, Logger: logger,
 	})
-	return callers{&http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
-	}}
+	return callers{&http.Server{Handler: handler, IdleTimeout: idleTimeout}}
+}
+
+// newGuard bounds what untrusted clients can take.
+func newGuard(s settings.Settings, m *telemetry.Metrics, logger *log.Logger) *listen.Guard {
+	return listen.NewGuard(listen.LimitsOf(listen.Resources{MemoryMB: s.MemoryMB, Descriptors: s.MaxFDs}), m, logger)
 }
 
 func newStreams(hop *lasthop.Hop, s *state, runner *spread.Runner, o *owner, logger *log.Logger) *streams {
@@ -211,8 +210,10 @@
 	}
 }
 
-func newLinkListener(id link.Identity, c *link.Counter, l Listeners, handler *streams, logger *log.Logger) *link.Listener {
-	return link.NewListener(link.Config{}, id, c, l.Link, handler, logger)
+func newLinkListener(id link.Identity, c *link.Counter, l Listeners, handler *streams, guard *listen.Guard, logger *log.Logger) *link.Listener {
+	bounds := guard.Limits()
+	limits := link.Limits{Links: bounds.Links, Streams: bounds.Streams, Bytes: bounds.StreamBytes, Closed: guard.Closed}
+	return link.NewListener(link.Config{Limits: limits}, id, c, l.Link, handler, logger)
 }
 
 func provideMaintenance(s settings.Settings, r *membership.Registry, g *gate.Gate, o *owner, b *backend.Client, c controlDialer, q requestDialer, logger *log.Logger) *maintenance {
@@ -266,7 +267,7 @@
 }
 
 // startServers starts the HTTP servers for callers and operators.
-func startServers(lc fx.Lifecycle, l Listeners, c callers, a admin) {
+func startServers(lc fx.Lifecycle, l Listeners, c callers, a admin, guard *listen.Guard) {
 	serve := func(server *http.Server, listener net.Listener) {
 		lc.Append(fx.Hook{
 			OnStart: func(context.Context) error {
@@ -276,6 +277,6 @@
 			OnStop: func(context.Context) error { return server.Close() },
 		})
 	}
-	serve(a.Server, l.Admin)
-	serve(c.Server, l.Callers)
+	serve(a.Server, guard.Operators("admin", a.Server).On(l.Admin))
+	serve(c.Server, guard.Callers(c.Server).On(l.Callers))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,7 @@
 
 // Start starts a node. If it succeeds, the caller must call Stop or Kill.
 func Start(ctx context.Context, s settings.Settings, o Options) (*Node, error) {
-	listeners, err := listen(s, o.Listeners)
+	listeners, err := openListeners(s, o.Listeners)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +120,7 @@
 	return n.parts.State.self
 }
 
-func listen(s settings.Settings, given Listeners) (Listeners, error) {
+func openListeners(s settings.Settings, given Listeners) (Listeners, error) {
 	var err error
 	open := func(existing net.Listener, address string) net.Listener {
 		if existing != nil || err != nil {
--- a/internal/node/stopper.go
+++ b/internal/node/stopper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	stdlog "log"
 	"time"
 
 	"github.com/phuslu/log"
@@ -78,8 +76,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// discardLog discards the errors of net/http, which report callers that disconnect.
-func discardLog() *stdlog.Logger {
-	return stdlog.New(io.Discard, "", 0)
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,9 @@
 	QuotaOvershoot, QuotaSlack float64
 	// MemoryMB is the memory that the process may use, in MiB. Default 128.
 	MemoryMB int
+	// MaxFDs is the number of descriptors that the process may open. 0, the default, means
+	// the process's own limit (RLIMIT_NOFILE).
+	MaxFDs int
 	// LinkMbps is the rate of the host's link in Mbit/s. Default 1000.
 	LinkMbps float64
 	// ControlBytesPerSecond bounds control traffic sent. Default 7,000.
@@ -115,6 +118,8 @@
 	defaultMemoryMB     = 128
 	defaultOvershoot    = 1.0
 	defaultLinkMbps     = 1000
+	// minFDs is the least number of descriptors that a node works with.
+	minFDs = 128
 )
 
 // Read parses args, the environment and the settings file that args name.
@@ -186,6 +191,7 @@
 	flags.Float64Var(&s.QuotaOvershoot, "quota-overshoot", 0, "`share` by which a quota may be exceeded in a window")
 	flags.Float64Var(&s.QuotaSlack, "quota-slack", 0, "additional `requests` above a quota permitted in a window")
 	flags.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory in `MiB` that the process may use")
+	flags.IntVar(&s.MaxFDs, "max-fds", 0, "`descriptors` that the process may open, 0 for the process's own limit")
 	flags.Float64Var(&s.LinkMbps, "link-mbps", defaultLinkMbps, "rate of the host's link in `Mbit/s`")
 	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
 	return flags
@@ -217,6 +223,7 @@
 		checkRange("quota-slack", s.QuotaSlack, 0, 1e6),
 		checkRange("link-mbps", s.LinkMbps, 0.1, 1e6),
 		checkRange("memory-mb", float64(s.MemoryMB), 16, 1e6),
+		s.checkMaxFDs(),
 		checkOneOf("log-level", s.LogLevel, "debug", "info", "warn", "error"),
 		checkOneOf("trace-exporter", s.TraceExporter, "off", "stdout", "otlp"),
 		checkRange("trace-ratio", s.TraceRatio, 0, 1),
@@ -246,6 +253,14 @@
 	return checkAddress("ready-listen", s.ReadyListen)
 }
 
+// checkMaxFDs accepts 0 or what a node needs for its own connections and a few callers.
+func (s *Settings) checkMaxFDs() error {
+	if s.MaxFDs == 0 {
+		return nil
+	}
+	return checkRange("max-fds", float64(s.MaxFDs), minFDs, 1e7)
+}
+
 func invalidSetting(field, got, want string) error {
 	return eris.Wrapf(ErrInvalidSetting, "%s is %s, expected %s", field, got, want)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,6 +50,7 @@
 		Entry("a host name instead of an IP address", []string{"--backend", "localhost:1"}, "backend"),
 		Entry("an unknown log level", []string{"--log-level", "loud"}, "log-level"),
 		Entry("a ratio above 1", []string{"--trace-ratio", "2"}, "trace-ratio"),
+		Entry("too few descriptors", []string{"--max-fds", "100"}, "max-fds"),
 		Entry("an invalid peer address", []string{"--peer", "x"}, "peer"),
 	)
 
--- a/internal/sidecar/linkserver.go
+++ b/internal/sidecar/linkserver.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"boragefall/internal/link"
+	"boragefall/internal/listen"
 	"boragefall/internal/settings"
 )
 
@@ -26,14 +27,17 @@
 	return listener == nil || listener.AllDelivered(link.ClassRequest)
 }
 
-func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, links *linkServer, logger *log.Logger) {
+func startLinks(lc fx.Lifecycle, s settings.Settings, self link.Identity, h *streamServer, links *linkServer, guard *listen.Guard, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.StartStopHook(func() error {
 		l, err := net.Listen("tcp", s.LinkListen)
 		if err != nil {
 			return eris.Wrap(err, "listen for links")
 		}
-		listener := link.NewListener(linkConfig(), self, &link.Counter{}, l, h, logger)
+		cfg := linkConfig()
+		bounds := guard.Limits()
+		cfg.Limits = link.Limits{Links: bounds.Links, Streams: bounds.Streams, Bytes: bounds.StreamBytes, Closed: guard.Closed}
+		listener := link.NewListener(cfg, self, &link.Counter{}, l, h, logger)
 		links.listener.Store(listener)
 		go listener.Serve(ctx)
 		return nil
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,6 +27,7 @@
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
 	"boragefall/internal/link"
+	"boragefall/internal/listen"
 	"boragefall/internal/mesh"
 	"boragefall/internal/protocol"
 	"boragefall/internal/quota"
@@ -57,10 +58,6 @@
 	// callerIdleTimeout is how long a caller's idle connection is kept open. It exceeds
 	// any idle timeout that operators set for callers.
 	callerIdleTimeout = 2 * time.Minute
-	// headerTimeout bounds the time in which a request's headers arrive.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's headers; net/http answers 431 beyond it.
-	maxHeaderBytes = 64 << 10
 	// readinessPropagationDelay is how long callers keep sending new requests to a node
 	// that reports not ready: the platform probes once a second and needs two failed
 	// probes.
@@ -107,7 +104,7 @@
 		fx.Supply(s, o, o.Platform, o.Logger),
 		fx.Provide(
 			newCatalog, newMetrics, newIdentity, newDialers, newPeerDirectory, newNotifyingCrashTracker, newServerClient, newLastHop,
-			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newLinkServer, newStopper, newNodeState,
+			newDispatcher, provideQuotaLedger, provideQuotaGuard, newEntry, newCallersServer, newFeed, newStreamServer, newLinkServer, newStopper, newNodeState, newGuard,
 		),
 		fx.Invoke(followCatalog, startLinks, startCrashSync, startCallers, startReady, startAdmin, startFeed),
 		fx.Populate(&n.stopper, &n.peers),
@@ -328,17 +325,20 @@
 type callersServer struct{ *http.Server }
 
 func newCallersServer(e *Entry) callersServer {
-	return callersServer{&http.Server{
-		Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}
+	return callersServer{&http.Server{Handler: e.Handler(), IdleTimeout: callerIdleTimeout}}
 }
 
-func startCallers(lc fx.Lifecycle, s settings.Settings, callers callersServer, logger *log.Logger) {
-	startHTTPServer(lc, logger, "callers", s.CallersListen, callers.Server)
+// newGuard bounds what untrusted clients can take.
+func newGuard(s settings.Settings, m *telemetry.Metrics, logger *log.Logger) *listen.Guard {
+	return listen.NewGuard(listen.LimitsOf(listen.Resources{MemoryMB: s.MemoryMB, Descriptors: s.MaxFDs}), m, logger)
 }
 
-func startReady(lc fx.Lifecycle, s settings.Settings, c *catalog.Catalog, f *nodeState, logger *log.Logger) {
-	startHTTPServer(lc, logger, "ready", s.ReadyListen, &http.Server{
+func startCallers(lc fx.Lifecycle, s settings.Settings, callers callersServer, guard *listen.Guard, logger *log.Logger) {
+	startHTTPServer(lc, logger, "callers", s.CallersListen, callers.Server, guard.Callers(callers.Server))
+}
+
+func startReady(lc fx.Lifecycle, s settings.Settings, c *catalog.Catalog, f *nodeState, guard *listen.Guard, logger *log.Logger) {
+	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if f.stopping.Load() || c.View().Config == nil {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -346,11 +346,12 @@
 			}
 			w.WriteHeader(http.StatusOK)
 		}),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-	})
+		IdleTimeout: callerIdleTimeout,
+	}
+	startHTTPServer(lc, logger, "ready", s.ReadyListen, server, guard.Operators("ready", server))
 }
 
-func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, f *feed.Feed, client *serverconn.Client, logger *log.Logger) {
+func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, f *feed.Feed, client *serverconn.Client, guard *listen.Guard, logger *log.Logger) {
 	m.Gauge("gate_running", "Requests that the server beside this node runs.", func() float64 { return float64(hop.Load().Running) })
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request lately.", func() float64 { return hop.Load().ServiceTime.Seconds() })
@@ -375,17 +376,18 @@
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
-	startHTTPServer(lc, logger, "admin", s.AdminListen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	server := &http.Server{Handler: mux}
+	startHTTPServer(lc, logger, "admin", s.AdminListen, server, guard.Operators("admin", server))
 }
 
-func startHTTPServer(lc fx.Lifecycle, logger *log.Logger, name, address string, server *http.Server) {
+func startHTTPServer(lc fx.Lifecycle, logger *log.Logger, name, address string, server *http.Server, bounded *listen.Listener) {
 	lc.Append(fx.StartStopHook(func() error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return eris.Wrapf(err, "listen for %s", name)
 		}
 		go func() {
-			if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(bounded.On(listener)); err != nil && !eris.Is(err, http.ErrServerClosed) {
 				logger.Error().Str("part", "node").Str("listener", name).Err(err).Msg("listener failed")
 			}
 		}()
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -143,11 +143,14 @@
 	}
 }
 
+// maxStateWait bounds the wait of a query, which holds a stream; nodes ask for some seconds.
+const maxStateWait = time.Minute
+
 // stateAnswer answers as soon as a revision newer than the query's is known, or when
 // the query's wait time has passed.
 func (s *streamServer) stateAnswer(ctx context.Context, query *wire.StateQuery) *wire.StateAnswer {
 	arrivedAt := bootclock.Now()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.GetWaitMillis())*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(query.GetWaitMillis())*time.Millisecond, maxStateWait))
 	defer cancel()
 	s.catalog.Await(ctx, query.GetRevision())
 	// The ages are read before the items, which may therefore only be newer.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -15,6 +15,7 @@
 	requestSeconds prometheus.Histogram
 	attempts       *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
+	closedConns    *prometheus.CounterVec
 }
 
 const namespace = "boragefall"
@@ -46,8 +47,12 @@
 			Namespace: namespace, Name: "store_calls_total",
 			Help: "Calls of the platform's store, by call and result.",
 		}, []string{"call", "result"}),
+		closedConns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_closed_total",
+			Help: "Connections and streams of clients that a limit closed or refused, by listener and reason.",
+		}, []string{"listener", "reason"}),
 	}
-	labelled.MustRegister(m.answers, m.refusals, m.requestSeconds, m.attempts, m.storeCalls,
+	labelled.MustRegister(m.answers, m.refusals, m.requestSeconds, m.attempts, m.storeCalls, m.closedConns,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -79,6 +84,11 @@
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
 
+// ConnectionClosed counts a connection or stream that a limit closed or refused.
+func (m *Metrics) ConnectionClosed(listener, reason string) {
+	m.closedConns.WithLabelValues(listener, reason).Inc()
+}
+
 // Gauge registers a gauge whose value is read on each scrape.
 func (m *Metrics) Gauge(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
