Take no invalid or incomplete response for an answer

Cause: the kernel reports a reset once. When the write of a request takes the report, the reader of an answer without a length sees an ordinary end, and a part was passed on as the whole (internal/serverconn, internal/backend). Statuses under 200 were read over or passed on, those over 599 passed on, also over links. An answer over a link without a load ended the entry's process, and an HTTP/1.0 caller whose answer was cut saw an ordinary end.

Change: an answer without a length is complete only if the whole request was written. Final statuses are 200 to 599; for another the connection is closed and the verdict is may-have-run. An absent load is read as none. Connections of HTTP/1.0 callers are reset when their answer is cut.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
 	"boragefall/internal/contract"
@@ -22,6 +23,9 @@
 // like that of a request. A faulty server may send a head that never ends.
 const maxAnswerHead = 64 << 10
 
+// errInvalidStatus reports a status that no final answer of HTTP has.
+var errInvalidStatus = eris.New("answer has an invalid status")
+
 // Client sends requests to one backend server over pooled connections.
 type Client struct {
 	cfg       Config
@@ -38,7 +42,7 @@
 func (c *Client) newTransport(connections int) *http.Transport {
 	dialer := net.Dialer{Timeout: c.cfg.DialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialTracked(dialer.DialContext),
 		MaxConnsPerHost:        connections,
 		MaxIdleConns:           connections,
 		MaxIdleConnsPerHost:    connections,
@@ -68,7 +72,7 @@
 // Do sends a request and returns the answer once its headers have arrived. Its
 // errors are *verdict.Error.
 func (c *Client) Do(ctx context.Context, r *contract.Request) (*contract.Answer, error) {
-	progress := &progress{}
+	progress := &progress{wrote: make(chan struct{})}
 	request, err := c.newRequest(httptrace.WithClientTrace(ctx, progress.trace()), r)
 	if err != nil {
 		// Proof: nothing was sent, since the request could not be constructed.
@@ -78,6 +82,15 @@
 	if err != nil {
 		return nil, classify(ctx, progress, err)
 	}
+	if !contract.ValidStatus(response.StatusCode) {
+		_ = response.Body.Close() // also closes the connection if the body isn't read
+		// The transport has kept the connection if the response has no body.
+		c.transport.Load().CloseIdleConnections()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, eris.Wrapf(errInvalidStatus, "%d", response.StatusCode))
+	}
+	if isEndedByClose(response) {
+		response.Body = &closeDelimitedBody{ReadCloser: response.Body, progress: progress}
+	}
 	return newAnswer(response), nil
 }
 
@@ -109,17 +122,6 @@
 	return request, nil
 }
 
-// progress records whether a request got a connection.
-type progress struct {
-	connected atomic.Bool
-}
-
-func (p *progress) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
-	}
-}
-
 // classify converts a transport error to a verdict.
 func classify(ctx context.Context, p *progress, err error) *verdict.Error {
 	if !p.connected.Load() {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -31,6 +31,10 @@
 // ErrIDMismatch reports an answer whose request id is not that of the request sent.
 var ErrIDMismatch = eris.New("answer has the id of another request")
 
+// ErrInvalidStatus reports an answer with a status that no final answer of HTTP has. A gate of
+// an older build passes on what its server sends.
+var ErrInvalidStatus = eris.New("answer has an invalid status")
+
 // Client sends requests to the gates of other nodes.
 type Client struct {
 	dialer     *link.Dialer
@@ -119,6 +123,9 @@
 	if refused := head.GetRefused(); refused != nil {
 		return &contract.Answer{Load: decodeLoad(head.GetLoad()), GateTime: decodeMicros(head.GetHeldMicros())}, decodeRefusal(refused)
 	}
+	if !contract.ValidStatus(int(head.GetStatus())) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, eris.Wrapf(ErrInvalidStatus, "%d", head.GetStatus()))
+	}
 	trailer := http.Header{}
 	reader := &bodyReader{stream: c.stream, trailer: trailer, length: head.GetContentLength()}
 	return &contract.Answer{
@@ -161,7 +168,11 @@
 	}
 }
 
+// decodeLoad decodes a load; a peer that breaks the protocol may send none.
 func decodeLoad(l *wire.Load) contract.Load {
+	if l == nil {
+		return contract.Load{}
+	}
 	return contract.Load{
 		Running:          int(l.GetRunning()),
 		Queued:           int(l.GetQueued()),
--- a/internal/listen/guard.go
+++ b/internal/listen/guard.go
@@ -151,13 +151,30 @@
 // handler marks a connection as serving a request while next handles it.
 func (l *Listener) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok && !c.beginRequest() {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if ok && !c.beginRequest() {
 			panic(http.ErrAbortHandler) // the connection was closed before the request was handled
 		}
+		if ok && !r.ProtoAtLeast(1, 1) {
+			// Only the end of the connection ends an answer without a length to such a client.
+			defer func() {
+				if cause := recover(); cause != nil {
+					c.reset()
+					panic(cause)
+				}
+			}()
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// reset makes the close of the connection a reset, which no client takes for an ordinary end.
+func (c *Conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the client then sees an ordinary end, as without it
+	}
+}
+
 type connKey struct{}
 
 // Conn is an accepted connection.
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,6 +208,20 @@
 		Expect(guard.headUsed).To(BeNumerically("<=", limits.HeadBytes))
 	})
 
+	// Guards against a part taken for a whole: an answer to HTTP/1.0 ends with its connection.
+	It("resets the connection of an HTTP/1.0 client whose answer is cut", func() {
+		address, _, _ := startCallers(limits, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond) // the client has read the part
+			panic(http.ErrAbortHandler)
+		})
+		c := connect(address)
+		c.send("GET / HTTP/1.0\r\n\r\n")
+		got, err := io.ReadAll(c)
+		Expect(err).To(MatchError(syscall.ECONNRESET), string(got))
+	})
+
 	DescribeTable("answers a head beyond the limits and closes the connection",
 		func(sent string, status int) {
 			address, _, guard := startCallers(limits, ok)
--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -32,12 +33,23 @@
 	// maxInlineBody is the size in bytes up to which a request body is written
 	// before the answer is read; a body of this size fits the socket buffers.
 	maxInlineBody = 8 << 10
+	// writeResultGrace is how long the end of an answer without a length waits for the end of
+	// the request's write: a server may end its answer as soon as it has the whole request,
+	// before the writing goroutine has noted that.
+	writeResultGrace = 100 * time.Millisecond
 )
 
 var errUnsigned = eris.New("successful answer is not signed by the server")
 
 var errMissingRequestID = eris.New("answer has no request ID")
 
+// errInvalidStatus reports a status that HTTP doesn't have.
+var errInvalidStatus = eris.New("answer has an invalid status")
+
+// errUnfinishedRequest reports an answer without a length that ended before the request was
+// written. The writer may have taken the report of a reset, so that its end looks ordinary.
+var errUnfinishedRequest = eris.New("connection ended while the request was written, the answer may be truncated")
+
 var errUnmatchedAnswers = eris.New("received only answers to other requests")
 
 // Answer is a backend server's answer with its decoded protocol headers.
@@ -130,6 +142,8 @@
 	// writeResult receives the result of writing a request whose body is sent
 	// while the answer is awaited; nil for an inline body.
 	writeResult chan error
+	// written reports that writeResult held a nil, so that it holds nothing any more.
+	written bool
 	// bodyFailed reports that reading the caller's body failed.
 	bodyFailed atomic.Bool
 }
@@ -213,8 +227,11 @@
 		if err != nil {
 			return nil, protocol.ServerResponse{}, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue // an interim answer
+		if !contract.ValidStatus(response.StatusCode) {
+			if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
+				continue // an interim answer
+			}
+			return nil, protocol.ServerResponse{}, eris.Wrapf(errInvalidStatus, "%d", response.StatusCode)
 		}
 		reply := x.client.headers.ReadServerResponse(response.StatusCode, response.Header)
 		if reply.ID == "" && !x.request.ServerRequest.Probe {
@@ -254,6 +271,9 @@
 			io.Closer
 		}{io.MultiReader(buffer, remainder), remainder}
 	case errors.Is(err, io.EOF):
+		if err := x.checkEnd(response); err != nil {
+			return nil, err
+		}
 		x.finish(response, reply)
 		answer.Body, answer.Buffered = io.NopCloser(buffer), true
 		if response.Request == nil || response.Request.Method != http.MethodHead {
@@ -285,15 +305,34 @@
 // requestWritten reports whether the whole request was written. A server may
 // answer before it has read a long body; such a connection is not reused.
 func (x *exchange) requestWritten() bool {
-	if x.writeResult == nil {
+	if x.writeResult == nil || x.written {
 		return true
 	}
 	select {
 	case err := <-x.writeResult:
-		return err == nil
+		x.written = err == nil
 	default:
-		return false
 	}
+	return x.written
+}
+
+// checkEnd checks the end of an answer's body. Without a length the end of the connection is
+// that of the answer only if the whole request was written before.
+func (x *exchange) checkEnd(response *http.Response) error {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody || x.requestWritten() {
+		return nil
+	}
+	timer := time.NewTimer(writeResultGrace)
+	defer timer.Stop()
+	select {
+	case err := <-x.writeResult:
+		x.written = err == nil
+	case <-timer.C:
+	}
+	if !x.written {
+		return errUnfinishedRequest
+	}
+	return nil
 }
 
 // abort closes the connection, which also ends a write in progress.
@@ -308,19 +347,27 @@
 	response *http.Response
 	reply    protocol.ServerResponse
 	done     bool
+	// failed is the error with which the body ended, nil for a complete one.
+	failed error
 }
 
 // Read returns an error other than io.EOF if the answer is truncated.
 func (s *streamedBody) Read(p []byte) (int, error) {
 	if s.done {
-		return 0, io.EOF
+		return 0, cmp.Or(s.failed, io.EOF)
 	}
 	n, err := s.response.Body.Read(p)
-	if err == io.EOF {
-		s.done = true
-		s.exchange.finish(s.response, s.reply)
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	s.done = true
+	if endErr := s.exchange.checkEnd(s.response); endErr != nil {
+		s.exchange.abort()
+		s.failed = endErr
+		return n, endErr
+	}
+	s.exchange.finish(s.response, s.reply)
+	return n, io.EOF
 }
 
 // Close closes the connection if the answer has not been read to its end.
