--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -128,9 +128,7 @@
 	if _, err := conn.Write([]byte{byte(class % 2)}); err != nil {
 		return
 	}
-	cfg := yamux.DefaultConfig()
-	cfg.LogOutput, cfg.EnableKeepAlive = io.Discard, false
-	session, err := yamux.Client(conn, cfg)
+	session, err := yamux.Client(conn, quietYamux())
 	Expect(err).NotTo(HaveOccurred())
 	c.mu.Lock()
 	c.conns = append(c.conns, session)
@@ -160,3 +158,9 @@
 		}
 	}
 }
+
+func quietYamux() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput, cfg.EnableKeepAlive = io.Discard, false
+	return cfg
+}
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -54,33 +54,37 @@
 	return response.StatusCode
 }
 
+// withstands lets a crowd connect to a node and checks that the process lives within its
+// limits and that an ordinary request is answered afterwards.
+func withstands(start func() []*member, connect func(m *member) *crowd, ordinary func(all []*member) int) {
+	all := start()
+	Eventually(ordinary).WithArguments(all).WithTimeout(patience).Should(Equal(http.StatusOK))
+	m := all[0]
+	before := m.status("VmHWM")
+	c := connect(m)
+	defer c.leave()
+	Consistently(m.ended).WithTimeout(time.Second).ShouldNot(BeClosed(), "the process has ended")
+	peak, anonymous, open := m.status("VmHWM"), m.status("RssAnon"), m.descriptors()
+	AddReportEntry(fmt.Sprintf("peak %.0f MiB (%.0f before), anonymous %.0f MiB, %d descriptors", peak, before, anonymous, open))
+	Expect(peak).To(BeNumerically("<=", memoryMB), "peak of resident memory in MiB")
+	Expect(open).To(BeNumerically("<=", maxDescriptors), "open descriptors")
+	c.leave()
+	Eventually(ordinary).WithArguments(all).WithTimeout(patience).Should(Equal(http.StatusOK))
+	Expect(m.ended).NotTo(BeClosed(), "the process has ended")
+	Expect(m.status("VmHWM")).To(BeNumerically("<=", memoryMB), "peak of resident memory in MiB")
+}
+
+func own(all []*member) int { return get(all[0].callers, all[0].path) }
+
+// overLink sends a request through the second node to the server beside the first.
+func overLink(all []*member) int { return get(all[1].callers, all[0].path) }
+
+func metrics(all []*member) int { return min(own(all), get(all[0].admin, "/metrics")) }
+
+func ready(all []*member) int { return get(all[0].ready, "/ready") }
+
 // One crowd at a time: peaks of memory depend on nothing else.
 var _ = Describe("untrusted clients", Serial, func() {
-	// withstands lets a crowd connect to a node and checks that the process lives within its
-	// limits and that an ordinary request is answered afterwards.
-	withstands := func(start func() []*member, connect func(m *member) *crowd, ordinary func(all []*member) int) {
-		all := start()
-		Eventually(ordinary).WithArguments(all).WithTimeout(patience).Should(Equal(http.StatusOK))
-		m := all[0]
-		before := m.status("VmHWM")
-		c := connect(m)
-		defer c.leave()
-		Consistently(m.ended).WithTimeout(time.Second).ShouldNot(BeClosed(), "the process has ended")
-		peak, anonymous, open := m.status("VmHWM"), m.status("RssAnon"), m.descriptors()
-		AddReportEntry(fmt.Sprintf("peak %.0f MiB (%.0f before), anonymous %.0f MiB, %d descriptors", peak, before, anonymous, open))
-		Expect(peak).To(BeNumerically("<=", memoryMB), "peak of resident memory in MiB")
-		Expect(open).To(BeNumerically("<=", maxDescriptors), "open descriptors")
-		c.leave()
-		Eventually(ordinary).WithArguments(all).WithTimeout(patience).Should(Equal(http.StatusOK))
-		Expect(m.ended).NotTo(BeClosed(), "the process has ended")
-		Expect(m.status("VmHWM")).To(BeNumerically("<=", memoryMB), "peak of resident memory in MiB")
-	}
-	own := func(all []*member) int { return get(all[0].callers, all[0].path) }
-	// overLink sends a request through the second node to the server beside the first.
-	overLink := func(all []*member) int { return get(all[1].callers, all[0].path) }
-	metrics := func(all []*member) int { return min(own(all), get(all[0].admin, "/metrics")) }
-	ready := func(all []*member) int { return get(all[0].ready, "/ready") }
-
 	DescribeTable("don't exhaust the memory or the descriptors of a node",
 		withstands,
 		Entry("platform, callers", startPlatform, func(m *member) *crowd { return httpCrowd(m.callers) }, own),
