--- a/test/hostile/fleet_test.go
+++ b/test/hostile/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -52,7 +53,10 @@
 
 // start starts the node process with its settings.
 func (m *member) start(settings map[string]any) {
-	settings["memory-mb"], settings["max-fds"], settings["log-level"] = memoryMB, maxDescriptors, "warn"
+	settings["log-level"] = "warn"
+	if _, ok := settings["memory-mb"]; !ok {
+		settings["memory-mb"], settings["max-fds"] = memoryMB, maxDescriptors
+	}
 	settings["link-listen"], settings["callers-listen"], settings["admin-listen"] = m.links, m.callers, m.admin
 	settings["backend"], settings["region"] = m.server, "r"
 	text, err := json.Marshal(settings)
@@ -106,7 +110,10 @@
 }
 
 // startPlatform starts two nodes on the platform's protocol, of one service each.
-func startPlatform() []*member {
+func startPlatform() []*member { return startPlatformWith(nil) }
+
+// startPlatformWith starts them with further settings.
+func startPlatformWith(further map[string]any) []*member {
 	store, record := standin.NewMetaStore(), &standin.MeshRecord{}
 	var routes, services []map[string]any
 	for _, name := range []string{"status", "orders"} {
@@ -132,10 +139,12 @@
 		}, store, record)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Crash)
-		m.start(map[string]any{
+		settings := map[string]any{
 			"host": fmt.Sprint("host-", i), "data-centre": "north", "service": name, "ready-listen": m.ready,
 			"store": storeAt, "peer": []string{members[0].links},
-		})
+		}
+		maps.Copy(settings, further)
+		m.start(settings)
 	}
 	return members
 }
