--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -166,11 +166,14 @@
 	}
 }
 
+// maxStateWait bounds the wait of a query, which holds a stream; nodes ask for some seconds.
+const maxStateWait = time.Minute
+
 // stateAnswer answers as soon as a version newer than the query's is known, or when
 // the query's wait time has passed. peer is the address of the asking node's link.
 func (s *streamServer) stateAnswer(ctx context.Context, query *wire.StateQuery, peer string) *wire.StateAnswer {
 	arrivedAt := bootclock.Now()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.GetWaitMillis())*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(query.GetWaitMillis())*time.Millisecond, maxStateWait))
 	defer cancel()
 	asked := s.olderEras.adjust(peer, versionOf(query), s.catalog.Version())
 	s.catalog.Await(ctx, asked)
