Ask a gate that answered nothing for large answers again

Cause: the expected bytes of large answers sent to a gate were forgotten only with its next load report. A gate that was cut off while they were outstanding reported nothing; an entry took its link for full for good and never sent it a large request again. Change: nothing is expected any more once no request is outstanding there. Run: go test ./internal/balance; the new test fails without the change.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -264,6 +264,11 @@
 	defer b.mu.Unlock()
 	s := b.stateOf(id, now)
 	s.outstanding--
+	if s.outstanding <= 0 {
+		// No answer is left to send. A gate that sends no reports would otherwise never be
+		// asked for large answers again.
+		s.answerBytesSinceLoad = 0
+	}
 	if load == nil {
 		s.recordDelay(delay-silenceFactor*max(s.serviceTime, defaultServiceTime), now)
 		return
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -389,3 +389,22 @@
 	g.Expect(b.work.of("lookup")).To(BeNumerically("~", 0.25, 0.01))
 	g.Expect(b.work.of("new")).To(Equal(1.0))
 }
+
+// Guards against a gate that gets no large requests any more: it was cut off and answered none
+// of those sent there, whose expected answers counted against its link for good.
+func TestGateThatAnsweredNothingIsAskedForLargeAnswersAgain(t *testing.T) {
+	g := NewWithT(t)
+	b, servers := newBalancer(), listed("north")
+	download := Request{AnswerBytes: 90_000, Objective: 600 * time.Millisecond}
+	b.Finish("a0", downloadLoad(0), 0, start)
+	sent := 0
+	for l, _ := b.Choose(servers, download, start); l != nil; l, _ = b.Choose(servers, download, start) {
+		sent++
+	}
+	g.Expect(sent).To(BeNumerically(">", 5))
+	for range sent {
+		b.Finish("a0", nil, 0, start.Add(2*time.Second))
+	}
+	l, _ := b.Choose(servers, download, start.Add(10*time.Second))
+	g.Expect(l).NotTo(BeNil())
+}
