Report a slow link without holding its lock

Cause: the log line of a link that becomes slow or normal again was written with the lock held under which all answers are planned and all load reports are made. Change: the change is kept and reported after the lock was released. Run: go test ./internal/linkbudget; the new test fails without the change.

--- a/internal/linkbudget/link.go
+++ b/internal/linkbudget/link.go
@@ -35,9 +35,16 @@
 	meanBytes float64
 	timer     *time.Timer
 	// slow reports that the rate is below slowShare of the configured one; onSlow is called
-	// when that changes.
-	slow   bool
-	onSlow func(slow bool, rate, bound int64)
+	// when that changes, after mu was released. slowChange is a change not reported yet.
+	slow       bool
+	slowChange *slowChange
+	onSlow     func(slow bool, rate, bound int64)
+}
+
+// slowChange describes that a link became slow or normal again.
+type slowChange struct {
+	slow        bool
+	rate, bound int64
 }
 
 // NewLink returns the link of a host. A rate of 0 means that it is unknown: then nothing is
@@ -47,7 +54,7 @@
 }
 
 // OnSlow sets a function that is called when the link becomes slow or normal again, with
-// the measured and the configured rate. It must not call the link.
+// the measured and the configured rate.
 func (l *Link) OnSlow(fn func(slow bool, rate, bound int64)) { l.onSlow = fn }
 
 // Enabled reports whether the link's rate is known.
@@ -73,7 +80,7 @@
 // Status returns the link's state.
 func (l *Link) Status() Status {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	now := l.update()
 	perSecond := 0.0
 	if l.meanBytes > 0 {
@@ -95,7 +102,7 @@
 	return now
 }
 
-// checkSlow reports when the measured rate becomes slow or normal again.
+// checkSlow records when the measured rate becomes slow or normal again.
 func (l *Link) checkSlow(measured float64) {
 	share := slowShare
 	if l.slow {
@@ -105,16 +112,23 @@
 	if slow == l.slow {
 		return
 	}
-	l.slow = slow
-	if l.onSlow != nil {
-		l.onSlow(slow, int64(measured), int64(l.meter.bound))
+	l.slow, l.slowChange = slow, &slowChange{slow: slow, rate: int64(measured), bound: int64(l.meter.bound)}
+}
+
+// unlock releases l.mu and reports a change of slow, which may block.
+func (l *Link) unlock() {
+	change := l.slowChange
+	l.slowChange = nil
+	l.mu.Unlock()
+	if change != nil && l.onSlow != nil {
+		l.onSlow(change.slow, change.rate, change.bound)
 	}
 }
 
 // Reserve reserves capacity or returns the time until there is some.
 func (l *Link) Reserve(r Request) (*Reservation, time.Duration) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	reservation, wait := l.schedule.Reserve(r, l.update())
 	if reservation == nil {
 		l.refused++
@@ -125,7 +139,7 @@
 // TransferTime returns the time that sending n bytes takes.
 func (l *Link) TransferTime(n int64) time.Duration {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	l.update()
 	return l.schedule.TransferTime(n)
 }
@@ -133,7 +147,7 @@
 // RecordSmall records a response that is sent outside of the schedule.
 func (l *Link) RecordSmall(bytes int64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	l.small += bytes
 	l.meter.RecordSmall(bytes, time.Now())
 }
@@ -149,7 +163,7 @@
 // of bytes of its response that were.
 func (l *Link) release(r *Reservation, unsent, read int64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	select {
 	case granted := <-r.grant:
 		unsent += granted // granted after the receiver had gone
@@ -168,7 +182,7 @@
 // reservation whose size was estimated is corrected if the response states its length.
 func (l *Link) Send(ctx context.Context, r *Reservation, body io.ReadCloser, stated Request) io.ReadCloser {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	now := l.update()
 	if !l.schedule.Sending() {
 		l.meter.deliveries.recordIdle(now.Sub(later(l.schedule.freeAt, l.endedAt)))
@@ -198,11 +212,11 @@
 	l.mu.Lock()
 	l.schedule.Wait(r)
 	l.dispatch()
-	l.mu.Unlock()
+	l.unlock()
 	select {
 	case *granted = <-r.grant:
 		l.mu.Lock()
-		defer l.mu.Unlock()
+		defer l.unlock()
 		return l.sent + l.small, nil
 	case <-ctx.Done():
 		return 0, ctx.Err()
@@ -247,7 +261,7 @@
 	}
 	l.timer = time.AfterFunc(at.Sub(now), func() {
 		l.mu.Lock()
-		defer l.mu.Unlock()
+		defer l.unlock()
 		l.dispatch()
 	})
 }
--- a/internal/linkbudget/link_test.go
+++ b/internal/linkbudget/link_test.go
@@ -221,3 +221,21 @@
 		}
 	}
 }
+
+// Guards against all answers waiting for a log line: the change is reported without the lock.
+func TestSlowLinkIsReportedWithoutItsLock(t *testing.T) {
+	g := NewWithT(t)
+	l := newTestLink(nil)
+	reports := 0
+	l.OnSlow(func(slow bool, rate, bound int64) {
+		g.Expect(slow).To(BeTrue())
+		g.Expect(rate).To(BeNumerically("<", bound/2))
+		g.Expect(l.mu.TryLock()).To(BeTrue())
+		l.mu.Unlock()
+		reports++
+	})
+	l.meter.sampledAt, l.meter.measured = time.Now(), l.meter.bound/10
+	l.Status()
+	l.Status()
+	g.Expect(reports).To(Equal(1))
+}
