Return to a limit on runs only what was taken from it

Cause: a run that was taken back returned one run to the limit although it had taken nothing, as runs beyond the limit do: nested calls, and runs that may need no call. At a full gate each of their refusals permitted one more run whose calls are refused. Requests that the server refused itself counted as runs that make no calls; from a tenth of them on, the class looked as if it could do without calls, and was limited only while the slots were contended. Change: a run returns what it took. Requests that the server did not run are taken back. Run: go test ./internal/callbudget ./internal/sidecar; both new tests fail without the change.

--- a/internal/callbudget/budget.go
+++ b/internal/callbudget/budget.go
@@ -143,6 +143,8 @@
 	// calling and refused report that a call was made, and that one was refused.
 	calling, refused bool
 	ended            bool
+	// tokens is what the run took of the limit.
+	tokens float64
 }
 
 // Refusal is the decision not to start a run.
@@ -164,11 +166,12 @@
 		b.classes.Add(r.Class, c)
 	}
 	c.arrived.add(1, now)
-	if refusal := c.take(r, now); refusal != nil {
+	tokens, refusal := c.take(r, now)
+	if refusal != nil {
 		b.totals.NotStarted++
 		return nil, refusal
 	}
-	return &Run{budget: b, class: c, startedAt: now}, nil
+	return &Run{budget: b, class: c, startedAt: now, tokens: tokens}, nil
 }
 
 // Withdraw takes back a run that was not sent to the server.
@@ -179,7 +182,7 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	if !r.ended {
-		r.class.withdrawStart(now)
+		r.class.withdrawStart(r.tokens, now)
 	}
 	r.ended = true
 }
--- a/internal/callbudget/budget_test.go
+++ b/internal/callbudget/budget_test.go
@@ -126,3 +126,21 @@
 		}
 	})
 }
+
+// Guards against runs beyond the limit that leave room for one more when they are taken back:
+// calls that start always, and are then refused for lack of a slot, would lift the limit.
+func TestRunBeyondTheLimitReturnsNothingToIt(t *testing.T) {
+	g := NewWithT(t)
+	s := &scene{budget: New(), perSecond: 50, callEvery: 1, now: start}
+	s.play(3*time.Second, 0)
+	var refusal *Refusal
+	for refusal == nil {
+		_, refusal = s.budget.Start(Request{Class: Class{Route: "visit"}}, s.now)
+	}
+	for range 10 {
+		run, _ := s.budget.Start(Request{Class: Class{Route: "visit"}, Nested: true}, s.now)
+		run.Withdraw(s.now)
+	}
+	_, refusal = s.budget.Start(Request{Class: Class{Route: "visit"}}, s.now)
+	g.Expect(refusal).NotTo(BeNil())
+}
--- a/internal/callbudget/class.go
+++ b/internal/callbudget/class.go
@@ -53,20 +53,21 @@
 	return c.limit > 0
 }
 
-// take starts a run or refuses it.
-func (c *class) take(r Request, now time.Time) *Refusal {
+// take starts a run, or refuses it. It returns what the run takes of the limit.
+func (c *class) take(r Request, now time.Time) (tokens float64, refusal *Refusal) {
 	c.grow(now)
 	if !c.limited() {
 		c.recordStart(now)
-		return nil
+		return 0, nil
 	}
 	if r.Hedge || c.tokens < 1 && !r.Nested && !c.worthStarting(r, now) {
-		return &Refusal{RetryAfter: c.retryAfter(now), Service: c.refusedBy}
+		return 0, &Refusal{RetryAfter: c.retryAfter(now), Service: c.refusedBy}
 	}
 	// Runs beyond the limit leave no debt: the called service refused their calls already.
-	c.tokens = max(c.tokens-1, 0)
+	tokens = min(c.tokens, 1)
+	c.tokens -= tokens
 	c.recordStart(now)
-	return nil
+	return tokens, nil
 }
 
 func (c *class) recordStart(now time.Time) {
@@ -74,11 +75,13 @@
 	c.recentlyStarted.add(1, now)
 }
 
-func (c *class) withdrawStart(now time.Time) {
+// withdrawStart takes back a run that took a number of tokens. A run beyond the limit took
+// none, and returns none.
+func (c *class) withdrawStart(tokens float64, now time.Time) {
 	c.started.add(-1, now)
 	c.recentlyStarted.add(-1, now)
 	if c.limited() {
-		c.tokens++
+		c.tokens += tokens
 	}
 }
 
--- a/internal/sidecar/callbudget.go
+++ b/internal/sidecar/callbudget.go
@@ -7,6 +7,7 @@
 
 	"boragefall/internal/callbudget"
 	"boragefall/internal/contract"
+	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
 	"boragefall/internal/verdict"
 )
@@ -25,6 +26,17 @@
 	return nil, refusal
 }
 
+// endBudgeted records the end of a run. A request that the server did not run is no run
+// without calls: many of them would make calls look dispensable for the class.
+func endBudgeted(r *callbudget.Run, answer *serverconn.Answer, err error) {
+	notRun := err != nil && verdict.FromError(err).Verdict == verdict.NotRun
+	if notRun || answer != nil && answer.ServerResponse.NotExecuted {
+		r.Withdraw(time.Now())
+		return
+	}
+	r.End(time.Now())
+}
+
 // recordCall records the outcome of a nested call; refusal is nil if it was answered.
 func (d *Dispatcher) recordCall(parent *run, r *contract.Request, refusal *verdict.Error) {
 	if parent == nil || refusal != nil && refusal.Reason == verdict.ReasonCanceled {
--- a/internal/sidecar/callbudget_test.go
+++ b/internal/sidecar/callbudget_test.go
@@ -12,6 +12,7 @@
 	"boragefall/internal/callbudget"
 	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
+	"boragefall/internal/protocol"
 	"boragefall/internal/verdict"
 )
 
@@ -133,3 +134,22 @@
 		w.Expect(w.dispatcher.hop.callBudget.Totals(time.Now()).CallRefused).To(Equal(uint64(1)))
 	})
 }
+
+// Guards against limits that permit runs beyond them because the server refused requests
+// itself: those count as no runs.
+func TestRequestThatTheServerRefusedIsNoRunOfTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		hop := newTestHop(t, newTestView(1))
+		server := &statingServer{reply: protocol.ServerResponse{Server: "10.0.0.2", NotExecuted: true}}
+		hop.client = server
+		_, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+		g.Expect(verdict.FromError(err).Reason).To(Equal(verdict.ReasonServerRefused))
+		g.Expect(hop.callBudget.Totals(time.Now()).Runs).To(BeZero())
+		server.reply.NotExecuted = false
+		answer, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Body.Close()).To(Succeed())
+		g.Expect(hop.callBudget.Totals(time.Now()).Runs).To(Equal(uint64(1)))
+	})
+}
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -339,7 +339,7 @@
 		ID: r.ID, Origin: r.Origin, Server: mesh.ServerID(r.Server), TimeRemaining: r.Remaining(time.Now()) - answerTransitReserve,
 	}})
 	h.runs.end(r.ID)
-	budgeted.End(time.Now())
+	endBudgeted(budgeted, answer, err)
 	h.observeSpeed(permit, started, answer)
 	if err != nil {
 		return nil, h.handleFailure(r, permit, verdict.FromError(err), sentAt)
