Send an urgent call to a gate that refused a less urgent one

Cause: an entry remembers the calls that a gate refuses by route, but calls have the ranks of their runs. After a gate had refused a less urgent call, urgent calls of that route were not sent there either, although they would have gone before all others. Change: the class of a nested call holds its rank. Other requests are as before. Run: go test ./internal/sidecar; the new test fails without the change.

--- a/internal/sidecar/callbudget_test.go
+++ b/internal/sidecar/callbudget_test.go
@@ -153,3 +153,13 @@
 		g.Expect(hop.callBudget.Totals(time.Now()).Runs).To(Equal(uint64(1)))
 	})
 }
+
+// Guards against a call that is not sent to a gate with room because that gate refused a less
+// urgent one of the same route.
+func TestRefusalOfALessUrgentCallDoesNotHoldForAnUrgentOne(t *testing.T) {
+	g := NewWithT(t)
+	urgent, other := &contract.Request{Route: "status", Nested: true, Rank: 1}, &contract.Request{Route: "status", Nested: true, Rank: 2}
+	g.Expect(admissionClass(urgent)).NotTo(Equal(admissionClass(other)))
+	urgent.Nested, other.Nested = false, false
+	g.Expect(admissionClass(urgent)).To(Equal(admissionClass(other)))
+}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"boragefall/internal/balance"
@@ -247,11 +248,12 @@
 
 // admissionClass groups the requests that a full gate treats alike: it may queue a
 // request that it would not start at once, and refuse a hedged request that it would
-// accept as a first attempt.
+// accept as a first attempt. Nested calls of one route have the ranks of their runs, and a
+// gate that refuses the less urgent ones may have room for the others.
 func admissionClass(r *contract.Request) string {
 	class := r.Route
 	if r.Nested {
-		class += " call"
+		class += " call " + strconv.Itoa(r.Rank)
 	}
 	switch {
 	case r.Hedge:
