Keep calls that other gates refused, and count yields and calls alike

Causes: a server that became slow handed back nested calls that would miss their objective although other gates had refused them before and they wait until their deadline; their runs failed. The check before a body is transferred ignored the time for which a request lets calls go first, so that bodies were transferred and then refused. The time of the calls of a run that was given up counted as work of the server. For each waiting request, a dispatch evaluated the service time of its class and the share of time with a queue; a refusal counted the requests ahead of it although no limit was stated. Change: as the causes say. The share is evaluated once for each dispatch, the service time once for a sequence of requests of one class, and requests are counted only for a stated limit. Run: go test ./internal/admission; the three new tests fail without the change.

--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -143,7 +143,7 @@
 	case m.down:
 		return verdict.Refuse(verdict.ReasonUnreachable, minRetryAfter)
 	}
-	t := &Ticket{request: r, enqueuedAt: now}
+	t := &Ticket{request: r, enqueuedAt: now, yieldUntil: yieldUntil(r, now)}
 	wait := max(m.expectedWait(t, now)-delay, 0)
 	if delay+wait > 0 && !m.acceptable(r, delay, wait, now) {
 		return verdict.Refuse(m.busyReason(now), m.retryAfter(t, delay+wait, now))
@@ -182,11 +182,12 @@
 	m.running--
 }
 
-// Abandon ends a started ticket whose request was given up. The elapsed time is a lower
-// bound of the service time.
+// Abandon ends a started ticket whose request was given up. The elapsed time without that of
+// the run's calls is a lower bound of the service time.
 func (m *Machine) Abandon(t *Ticket, elapsed time.Duration) {
 	m.running--
 	now := t.startedAt.Add(elapsed)
+	elapsed -= min(t.observation.CallWait, elapsed)
 	if elapsed > m.expectedServiceTime(t.request.Class, now) {
 		m.recordServiceTime(t.request.Class, time.Duration(float64(elapsed)*m.speed.Speed(now)))
 	}
@@ -265,9 +266,18 @@
 // refuseExpired refuses the waiting requests that can't finish in time. Under overload it
 // also refuses those that were expected to miss their objective when they were accepted.
 func (m *Machine) refuseExpired(now time.Time) {
+	if len(m.waiting) == 0 {
+		return
+	}
+	overloaded := m.overloaded(now)
+	class := m.waiting[0].request.Class
+	serviceTime := m.expectedServiceTime(class, now)
 	m.refuseWaitingIf(func(t *Ticket, _ int) bool {
-		cannotFinish := now.Add(m.expectedServiceTime(t.request.Class, now) / slotTurnoverFactor).After(t.request.Deadline)
-		return cannotFinish || m.overloaded(now) && t.expectedLate
+		if t.request.Class != class {
+			class = t.request.Class
+			serviceTime = m.expectedServiceTime(class, now)
+		}
+		return now.Add(serviceTime/slotTurnoverFactor).After(t.request.Deadline) || overloaded && t.expectedLate
 	}, now)
 }
 
@@ -413,7 +423,11 @@
 // retryAfter returns when a refused request that would wait may be sent again. A stated
 // limit permits nothing sooner, unlike slots, which become free all the time.
 func (m *Machine) retryAfter(t *Ticket, wait time.Duration, now time.Time) time.Duration {
-	return max(wait/slotTurnoverFactor, m.limiter.wait(t.request, m.ahead(t, now), now), minRetryAfter)
+	wait = max(wait/slotTurnoverFactor, minRetryAfter)
+	if !m.limiter.limit.Stated {
+		return wait
+	}
+	return max(wait, m.limiter.wait(t.request, m.ahead(t, now), now))
 }
 
 func indicator(condition bool) float64 {
--- a/internal/admission/nested_test.go
+++ b/internal/admission/nested_test.go
@@ -86,3 +86,24 @@
 	_, refusal = m.Enqueue(call(1, held), held)
 	g.Expect(refusal.Reason).To(Equal(verdict.ReasonCold))
 }
+
+// Guards against bodies that are transferred in vain: the check before the transfer counts the
+// time for which the request lets calls go first, as the admission does.
+func TestPrecheckCountsTheYieldToCalls(t *testing.T) {
+	g := NewWithT(t)
+	m := warmMachine(1)
+	m.recordServiceTime("status", 80*time.Millisecond)
+	_, refusal := m.Enqueue(call(1, start), start)
+	g.Expect(refusal).To(BeNil())
+	m.Dispatch(start)
+	waiting := call(1, start)
+	waiting.HasPriorWork, waiting.AllowDelay = true, true
+	for range 2 {
+		_, refusal = m.Enqueue(waiting, start)
+		g.Expect(refusal).To(BeNil())
+	}
+	upload := Request{Class: "status", Priority: 1, Objective: start.Add(time.Second), Deadline: start.Add(2 * time.Second)}
+	g.Expect(m.Precheck(upload, 0, start)).NotTo(BeNil())
+	_, refusal = m.Enqueue(upload, start)
+	g.Expect(refusal).NotTo(BeNil())
+}
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -92,7 +92,8 @@
 
 // handBack refuses the waiting requests that would miss their objective because the server
 // has become slow, and would meet it at a server of usual speed with a queue as long as
-// here. Requests with prior work stay: if no other gate took them, that work would be lost.
+// here. Requests with prior work stay, and so do nested calls that other gates refused: if no
+// other gate took them, that work, or that of their runs, would be lost.
 func (m *Machine) handBack(now time.Time) {
 	if len(m.waiting) == 0 {
 		return
@@ -100,7 +101,7 @@
 	m.sortWaiting()
 	// Proof of NotRun: a waiting ticket was not started, and a refused one never is.
 	m.refuseWaitingIf(func(t *Ticket, ahead int) bool {
-		if t.request.HasPriorWork || t.expectedLate {
+		if t.request.HasPriorWork || t.expectedLate || t.request.Nested && t.request.AllowDelay {
 			return false
 		}
 		class := t.request.Class
--- a/internal/admission/speed_test.go
+++ b/internal/admission/speed_test.go
@@ -73,3 +73,26 @@
 	}
 	g.Expect(m.expectedServiceTime("read", warm)).To(BeNumerically("<=", 60*time.Millisecond), "learned anew")
 }
+
+// Guards against a run that is wasted because its call was handed back after all other gates
+// had refused it, although the call may end until its deadline.
+func TestCallThatOtherGatesRefusedIsNotHandedBack(t *testing.T) {
+	g := NewWithT(t)
+	m, _ := fullMachine(t)
+	r := request(start, 200*time.Millisecond, time.Second)
+	r.Nested, r.AllowDelay = true, true
+	ticket, refusal := m.Enqueue(r, start)
+	g.Expect(refusal).To(BeNil())
+	m.RecordStated(110, start)
+	m.RecordStated(250, start)
+	g.Expect(pollDecision(ticket)).To(BeFalse())
+}
+
+// Guards against a server that looks slow because runs are given up that wait for their calls.
+func TestCallsOfAbandonedRunsAreNoWorkOfTheServer(t *testing.T) {
+	g := NewWithT(t)
+	m, started := fullMachine(t)
+	started[0].observation.CallWait = 1950 * time.Millisecond
+	m.Abandon(started[0], 2*time.Second)
+	g.Expect(m.expectedServiceTime("read", start.Add(2*time.Second))).To(Equal(100 * time.Millisecond))
+}
