--- a/internal/sidecar/callbudget_test.go
+++ b/internal/sidecar/callbudget_test.go
@@ -12,6 +12,7 @@
 	"boragefall/internal/callbudget"
 	"boragefall/internal/contract"
 	"boragefall/internal/mesh"
+	"boragefall/internal/protocol"
 	"boragefall/internal/verdict"
 )
 
@@ -133,3 +134,32 @@
 		w.Expect(w.dispatcher.hop.callBudget.Totals(time.Now()).CallRefused).To(Equal(uint64(1)))
 	})
 }
+
+// Guards against limits that permit runs beyond them because the server refused requests
+// itself: those count as no runs.
+func TestRequestThatTheServerRefusedIsNoRunOfTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		hop := newTestHop(t, newTestView(1))
+		server := &statingServer{reply: protocol.ServerResponse{Server: "10.0.0.2", NotExecuted: true}}
+		hop.client = server
+		_, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+		g.Expect(verdict.FromError(err).Reason).To(Equal(verdict.ReasonServerRefused))
+		g.Expect(hop.callBudget.Totals(time.Now()).Runs).To(BeZero())
+		server.reply.NotExecuted = false
+		answer, err := hop.Run(context.Background(), requestTo("10.0.0.2", nil, 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Body.Close()).To(Succeed())
+		g.Expect(hop.callBudget.Totals(time.Now()).Runs).To(Equal(uint64(1)))
+	})
+}
+
+// Guards against a call that is not sent to a gate with room because that gate refused a less
+// urgent one of the same route.
+func TestRefusalOfALessUrgentCallDoesNotHoldForAnUrgentOne(t *testing.T) {
+	g := NewWithT(t)
+	urgent, other := &contract.Request{Route: "status", Nested: true, Rank: 1}, &contract.Request{Route: "status", Nested: true, Rank: 2}
+	g.Expect(admissionClass(urgent)).NotTo(Equal(admissionClass(other)))
+	urgent.Nested, other.Nested = false, false
+	g.Expect(admissionClass(urgent)).To(Equal(admissionClass(other)))
+}
