Explain the choice of a server by the code that chooses

Cause: an operator can't see why a request goes to a server. Change: the cost of a server has named parts, and the choice is made by a type that Choose and the new Explain share. Run: go test ./internal/balance, go vet, staticcheck.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -180,32 +180,16 @@
 	defer b.mu.Unlock()
 	b.sweep(now)
 	meanServiceTime, work := b.meanServiceTime(listed), b.work.of(r.Route)
-	var best, bestLocal *catalog.Listing
-	var retryIn time.Duration
-	bestCost, bestLocalCost := math.Inf(1), localThreshold*r.Objective.Seconds()
+	choice := b.newSelection(r)
 	for _, l := range listed {
 		if slices.Contains(r.Excluded, l.ID) {
 			continue
 		}
-		s := b.stateOf(l.ID, now)
-		if wait := max(s.refusal(r.Class, now), s.answerExcess(r, now)); wait > 0 {
-			if retryIn == 0 || wait < retryIn {
-				retryIn = wait
-			}
-			continue
-		}
-		cost := b.cost(l, r, meanServiceTime, work, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = l, cost
-		}
-		if l.DataCentre == b.dataCentre && cost < bestLocalCost {
-			bestLocal, bestLocalCost = l, cost
-		}
-	}
-	if bestLocal != nil {
-		best, bestCost = bestLocal, bestLocalCost
+		a := b.assess(l, r, meanServiceTime, work, now)
+		choice.consider(l, &a)
 	}
-	if best == nil || retryIn > 0 && bestCost >= unavailableCost {
+	best, retryIn := choice.result()
+	if best == nil {
 		return nil, retryIn
 	}
 	s := b.stateOf(best.ID, now)
@@ -221,14 +205,24 @@
 	return best, 0
 }
 
-// refusal returns the time after which the gate expects room for a class, or 0 if it may be
+// assess weighs a server for a request.
+func (b *Balancer) assess(l *catalog.Listing, r Request, meanServiceTime time.Duration, work float64, now time.Time) assessment {
+	s := b.stateOf(l.ID, now)
+	w := waits{closed: s.closedUntil.Sub(now), full: s.fullFor(r.Class, now), link: s.answerExcess(r, now)}
+	if w.longest() > 0 {
+		return assessment{waits: w}
+	}
+	return assessment{cost: b.cost(l, r, meanServiceTime, work, now)}
+}
+
+// fullFor returns the time after which the gate expects room for a class, or 0 if it may be
 // asked now.
-func (s *serverState) refusal(class string, now time.Time) time.Duration {
+func (s *serverState) fullFor(class string, now time.Time) time.Duration {
 	mark := s.full[class]
 	if now.Before(mark.askAgainAt) {
-		return max(s.closedUntil.Sub(now), mark.until.Sub(now))
+		return mark.until.Sub(now)
 	}
-	return max(s.closedUntil.Sub(now), 0)
+	return 0
 }
 
 // MarkFull records that a gate refuses requests of a class until a given time.
@@ -363,45 +357,53 @@
 
 // cost returns the expected time until an answer in seconds, with other disadvantages of
 // a server added as time. work is the work of the request relative to the mean.
-func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, work float64, now time.Time) float64 {
+func (b *Balancer) cost(l *catalog.Listing, r Request, meanServiceTime time.Duration, work float64, now time.Time) cost {
+	var c cost
 	s := b.stateOf(l.ID, now)
 	age := now.Sub(s.loadAt)
 	serviceTime := s.expectedServiceTime(meanServiceTime, age)
 	concurrency := s.concurrency(l.Slots)
-	usualLoad := b.utilization * concurrency
-	reportedLoad := usualLoad + (float64(s.load.Running+s.load.Queued)-usualLoad)*decay(age, loadDecay)
-	busy := max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
-	cost := meanServiceTime.Seconds() * crowdingCost * crowding(min(busy/concurrency, 1))
-	cost += work * serviceTime.Seconds() * (1 + utilizationPenalty*min(busy/concurrency, 1))
+	busy := b.expectedLoad(s, concurrency, age)
+	c.add(partCrowding, meanServiceTime.Seconds()*crowdingCost*crowding(min(busy/concurrency, 1)))
+	c.add(partWork, work*serviceTime.Seconds()*(1+utilizationPenalty*min(busy/concurrency, 1)))
 	if excess := busy + 1 - concurrency; excess > 0 {
-		cost += serviceTime.Seconds() * excess / concurrency
+		c.add(partQueue, serviceTime.Seconds()*excess/concurrency)
 	}
-	cost += s.limitWait(age).Seconds()
+	c.add(partRateLimit, s.limitWait(age).Seconds())
 	if s.load.BodyRate > 0 && r.BodyBytes > 0 && l.Address != r.LocalAddress {
-		cost += s.load.BodyQueueDelay.Seconds()*decay(age, loadDecay) + float64(r.BodyBytes)/float64(s.load.BodyRate)
+		c.add(partBody, s.load.BodyQueueDelay.Seconds()*decay(age, loadDecay)+float64(r.BodyBytes)/float64(s.load.BodyRate))
 	}
 	if transfer := s.answerTransferTime(r); transfer > 0 {
 		// The answers reserved so far are sent while the request waits and runs.
-		cost = max(cost, s.answerQueueDelay(now).Seconds()) + transfer.Seconds()
+		c.add(partAnswer, max(s.answerQueueDelay(now).Seconds()-c.total, 0)+transfer.Seconds())
 	}
-	cost += s.expectedDelay(now).Seconds()
-	if r.Objective > 0 && cost > lateThreshold*r.Objective.Seconds() {
-		cost += lateCost.Seconds()
+	c.add(partNetwork, s.expectedDelay(now).Seconds())
+	if r.Objective > 0 && c.total > lateThreshold*r.Objective.Seconds() {
+		c.add(partLate, lateCost.Seconds())
 	}
-	cost += failureCost.Seconds() * s.load.FailureRate * decay(age, serviceTimeDecay)
+	c.add(partFailures, failureCost.Seconds()*s.load.FailureRate*decay(age, serviceTimeDecay))
 	if s.outstanding > 0 {
 		// A host that lost power or hangs sends no answer.
-		cost += max(now.Sub(s.silentSince).Seconds()-silenceFactor*max(work, 1)*serviceTime.Seconds(), 0)
+		c.add(partSilence, max(now.Sub(s.silentSince).Seconds()-silenceFactor*max(work, 1)*serviceTime.Seconds(), 0))
 	}
-	cost *= 1 + costJitter*(2*b.random()-1)
+	c.add(partVariation, c.total*costJitter*(2*b.random()-1))
 	if l.DataCentre != b.dataCentre {
 		kilobytes := requestOverheadKB + float64(max(r.BodyBytes, 0)+r.AnswerBytes)/1024
-		cost += dataCentreRoundTrip.Seconds() + min(transferCostPerKB*meanServiceTime.Seconds()*kilobytes, maxTransferCost.Seconds())
+		c.add(partDataCentre, dataCentreRoundTrip.Seconds()+min(transferCostPerKB*meanServiceTime.Seconds()*kilobytes, maxTransferCost.Seconds()))
 	}
 	if l.Suspect {
-		cost += suspectCost.Seconds()
+		c.add(partSuspect, suspectCost.Seconds())
 	}
-	return cost + b.availabilityCost(l, s, r, now)
+	b.addAvailability(&c, l, s, r, now)
+	return c
+}
+
+// expectedLoad returns the number of requests that a server is expected to have. age is the
+// age of its last load report.
+func (b *Balancer) expectedLoad(s *serverState, concurrency float64, age time.Duration) float64 {
+	usualLoad := b.utilization * concurrency
+	reportedLoad := usualLoad + (float64(s.load.Running+s.load.Queued)-usualLoad)*decay(age, loadDecay)
+	return max(reportedLoad+float64(s.sentSinceLoad), float64(s.outstanding))
 }
 
 // expectedServiceTime returns the service time at the server's present speed, as far as a
@@ -433,23 +435,31 @@
 	return float64(max(slots, 1))
 }
 
-// availabilityCost returns the cost that defers a server until no other is left.
-func (b *Balancer) availabilityCost(l *catalog.Listing, s *serverState, r Request, now time.Time) float64 {
+// addAvailability adds the cost that defers a server until no other is left.
+func (b *Balancer) addAvailability(c *cost, l *catalog.Listing, s *serverState, r Request, now time.Time) {
+	if now.Before(s.ejectedUntil) {
+		c.add(partEjected, unavailableCost)
+		return
+	}
 	unusable := s.load.State == host.StateLeaving || s.load.State == host.StateDown
-	if now.Before(s.ejectedUntil) || unusable && now.Sub(s.loadAt) < loadDecay {
-		return unavailableCost
+	if unusable && now.Sub(s.loadAt) < loadDecay {
+		c.add(partUnusable, unavailableCost)
+		return
 	}
-	cold := now.Before(l.ColdUntil) || s.load.State == host.StateCold && now.Sub(s.loadAt) < loadDecay
-	if !cold || r.ColdRate <= 0 {
-		return 0
+	if !s.isCold(l, now) || r.ColdRate <= 0 {
+		return
 	}
 	rate := coldRateShare * r.ColdRate / float64(max(r.Senders, 1))
 	s.tokens = min(s.tokens+rate*now.Sub(s.refilledAt).Seconds(), 1)
 	s.refilledAt = now
 	if s.tokens < 1 {
-		return coldRateExceededCost
+		c.add(partColdRate, coldRateExceededCost)
 	}
-	return 0
+}
+
+// isCold reports whether the server is warming up, by its record or its last load report.
+func (s *serverState) isCold(l *catalog.Listing, now time.Time) bool {
+	return now.Before(l.ColdUntil) || s.load.State == host.StateCold && now.Sub(s.loadAt) < loadDecay
 }
 
 func decay(age, timeConstant time.Duration) float64 {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -40,6 +40,14 @@
 	return 1
 }
 
+// peek is like of, but does not count as a use of the route.
+func (w *routeWork) peek(route string) float64 {
+	if work, ok := w.routes.Peek(route); ok {
+		return *work
+	}
+	return 1
+}
+
 func (w *routeWork) add(route string, work float64) {
 	work = min(max(work, minWork), maxWork)
 	known, ok := w.routes.Get(route)
