Ask a running node where a request would go: explain-choice

Cause: an operator can't ask a node for its present choice without sending a request. Change: GET /explain-choice on the admin address of a platform node, and the command explain-choice, as text and JSON. The description of a request to the balancer and the next service of a split come from the code that the requests use. Run: go test ./internal/cli, go test -run Choice ./internal/sidecar, go vet.

--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +14,9 @@
 // adminTimeout bounds one question to a node's admin address.
 const adminTimeout = 5 * time.Second
 
+// maxReasonBytes bounds the reason of a node that takes a question for malformed.
+const maxReasonBytes = 4 << 10
+
 // ask reads JSON from a node's admin address.
 func ask(ctx context.Context, address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
@@ -25,6 +30,13 @@
 		return Unreachable(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusBadRequest {
+		reason, err := io.ReadAll(io.LimitReader(response.Body, maxReasonBytes))
+		if err != nil {
+			return Unreachable(err)
+		}
+		return Usage("%s", strings.TrimSpace(string(reason)))
+	}
 	if response.StatusCode != http.StatusOK {
 		return Unreachable(eris.Errorf("%s answers %s", address, response.Status))
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -49,6 +49,7 @@
 		mergeCommand(streams),
 		explainCommand(streams),
 		explainRequestCommand(streams),
+		explainChoiceCommand(streams),
 		diffCommand(streams),
 		nodeCommand(streams),
 		statusCommand(streams),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -366,7 +366,7 @@
 	startHTTPServer(lc, logger, "ready", s.ReadyListen, server, guard.Operators("ready", server))
 }
 
-func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, peers *peerDirectory, f *feed.Feed, client *serverconn.Client, guard *listen.Guard, logger *log.Logger) {
+func startAdmin(lc fx.Lifecycle, s settings.Settings, m *telemetry.Metrics, hop *LastHop, peers *peerDirectory, f *feed.Feed, client *serverconn.Client, entry *Entry, guard *listen.Guard, logger *log.Logger) {
 	m.Gauge("gate_running", "Requests that the server beside this node runs.", func() float64 { return float64(hop.Load().Running) })
 	m.Gauge("gate_queued", "Requests that wait for the server beside this node.", func() float64 { return float64(hop.Load().Queued) })
 	m.Gauge("gate_service_seconds", "Mean time that the server takes for a request at its usual speed.", func() float64 { return hop.Load().ServiceTime.Seconds() })
@@ -398,6 +398,7 @@
 	m.Counter("server_connections_total", "Connections made to the server beside this node.", func() float64 { return float64(client.Opened()) })
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+ChoicePath, &choiceExplainer{entry: entry, host: s.Host, storeAge: f.Age})
 	server := &http.Server{Handler: mux}
 	startHTTPServer(lc, logger, "admin", s.AdminListen, server, guard.Operators("admin", server))
 }
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -50,6 +51,24 @@
 	return t.next()
 }
 
+// peek returns the service that pick would return next, without counting a request. It
+// reports false while no request of the route was counted, since the first service is
+// random then; it returns the one with the largest weight in that case.
+func (s *trafficSplitter) peek(route *mesh.Route) (string, bool) {
+	if len(route.Destinations) == 1 {
+		return route.Destinations[0].Service, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.routes.Peek(route.Name)
+	if !ok || !sameSplit(t.split, route.Destinations) {
+		fresh := splitState{split: route.Destinations, currentWeights: make([]float64, len(route.Destinations))}
+		return fresh.next(), false
+	}
+	copied := splitState{split: t.split, currentWeights: slices.Clone(t.currentWeights)}
+	return copied.next(), true
+}
+
 func newSplitState(split []mesh.Destination) *splitState {
 	t := &splitState{split: split, currentWeights: make([]float64, len(split))}
 	total := totalWeight(split)
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -142,11 +142,9 @@
 		return verdict.Refuse(verdict.ReasonLeaving, stoppingRetryAfter)
 	}
 	view := t.dispatcher.view()
-	candidates := view.Usable[t.request.Service]
-	listing, fullFor := t.dispatcher.balancer.Choose(candidates, balance.Request{
-		BodyBytes: t.request.ContentLength, AnswerBytes: t.dispatcher.answerSizes.Estimate(t.route.Name), Objective: t.request.Objective.Sub(now), LocalAddress: t.dispatcher.hop.address, Excluded: t.tried, Route: t.route.Name, Class: admissionClass(t.request),
-		ColdRate: view.Config.Services[t.request.Service].ColdRate, Senders: len(view.Servers),
-	}, now)
+	request := t.dispatcher.balanceRequest(view, t.request, t.route.Name, now)
+	request.Excluded = t.tried
+	listing, fullFor := t.dispatcher.balancer.Choose(view.Usable[t.request.Service], request, now)
 	if listing == nil && fullFor > 0 {
 		t.expectRoom(now.Add(fullFor))
 		// Proof: this attempt was sent to no server.
@@ -181,6 +179,15 @@
 	return nil
 }
 
+// balanceRequest describes a request to the balancer.
+func (d *Dispatcher) balanceRequest(view *catalog.View, r *contract.Request, route string, now time.Time) balance.Request {
+	return balance.Request{
+		BodyBytes: r.ContentLength, AnswerBytes: d.answerSizes.Estimate(route), Objective: r.Objective.Sub(now),
+		LocalAddress: d.hop.address, Route: route, Class: admissionClass(r),
+		ColdRate: view.Config.Services[r.Service].ColdRate, Senders: len(view.Servers),
+	}
+}
+
 func (t *task) attempt(ctx context.Context, listing *catalog.Listing, r *contract.Request) {
 	d := t.dispatcher
 	var answer *contract.Answer
@@ -444,10 +451,14 @@
 // expectedTime returns the time in which an attempt is expected to be answered: the route's
 // objective until an answer was seen.
 func (t *task) expectedTime() time.Duration {
-	if estimate, ok := t.dispatcher.answerTimes.Estimate(t.route.Name); ok {
+	return t.dispatcher.expectedTime(t.route)
+}
+
+func (d *Dispatcher) expectedTime(route *mesh.Route) time.Duration {
+	if estimate, ok := d.answerTimes.Estimate(route.Name); ok {
 		return estimate
 	}
-	return t.route.Objective
+	return route.Objective
 }
 
 // takeRetry reports whether a request that may have run may be sent to one more server,
