--- a/internal/cli/explainchoice.go
+++ b/internal/cli/explainchoice.go
@@ -124,7 +124,7 @@
 	}
 	printLine(out, "     state  %s%s%s, report %s old", c.State, formatCold(c), onlyIf(c.Suspect, ", suspect"), formatAge(c.ReportAgeMs))
 	printLine(out, "     speed  %s expected; service time %s, slowdown %s, handles %d at once, fails %.0f%%%s",
-		formatMs(c.Speed.ExpectedMs), formatMs(c.Speed.ServiceMs), formatSlowdown(c.Speed.SlowdownPercent), c.Speed.Concurrency, 100*c.Speed.FailureRate, formatLimit(c.Speed.StatedPerSecond))
+		formatMs(c.Speed.ExpectedMs), formatKnownMs(c.Speed.ServiceMs), formatSlowdown(c.Speed.SlowdownPercent), c.Speed.Concurrency, 100*c.Speed.FailureRate, formatLimit(c.Speed.StatedPerSecond))
 	printLine(out, "     load   %d running, %d queued, %d slots; %d sent since, %d outstanding here, %.1f expected",
 		c.Load.Running, c.Load.Queued, c.Load.Slots, c.Load.SentSinceReport, c.Load.Outstanding, c.Load.Expected)
 	printLine(out, "     link   answers %s, %s queued; bodies %s, %s queued; delay %s, measured %s ago",
@@ -186,6 +186,14 @@
 	return formatMs(*ms)
 }
 
+// formatKnownMs formats a time that is 0 while it is not known.
+func formatKnownMs(ms float64) string {
+	if ms == 0 {
+		return unknownFigure
+	}
+	return formatMs(ms)
+}
+
 func formatMs(ms float64) string {
 	return fmt.Sprintf("%.1f ms", ms)
 }
