Drain hidden link queues with half of the rate

Cause: on links slower than configured whose queue this host doesn't see, the queue grows to 0.2 s before nine late deliveries have been measured. Small responses behind it miss 150 ms until it is drained. 80 to 90% of the late calls of TestLinksAreSlowerThanConfiguredWithHiddenQueues fall into the first two seconds, most of them at the two fastest servers.

Change: 0.5 instead of 0.7 of the measured rate is used until the queue is gone. The test runs three seeds instead of one, with the same bounds: the one it had and two that exceeded the bound in a run of 40 seeds.

--- a/internal/linkbudget/delivery.go
+++ b/internal/linkbudget/delivery.go
@@ -21,8 +21,9 @@
 	// configured rate.
 	deliveryRecoverShare = 0.002
 	// drainShare is the share of the measured rate that is used until the queue is gone:
-	// small answers wait in it, too.
-	drainShare = 0.7
+	// small answers wait in it, too. A queue grows to 0.1 to 0.2 s until it is measured.
+	// With 0.7 instead, a third more calls were late and no more large answers on time.
+	drainShare = 0.5
 	// minDeliveryShare bounds the estimate below: deliveries are also late when the
 	// receivers are slow, and then sending less does not help.
 	minDeliveryShare = 0.3
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -10,6 +10,8 @@
 
 // A loadScenario is a load on a mesh and the events during it.
 type loadScenario struct {
+	// seed is that of all random values; 0 counts as 1.
+	seed     uint64
 	services []loadService
 	routes   map[string]loadRoute
 	phases   []loadPhase
@@ -34,7 +36,7 @@
 func simulateLoad(t *testing.T, p loadScenario) *loadSimulation {
 	var w *loadSimulation
 	synctest.Test(t, func(t *testing.T) {
-		w = newLoadSimulation(1, p.services, p.routes)
+		w = newLoadSimulation(max(p.seed, 1), p.services, p.routes)
 		if p.setUp != nil {
 			p.setUp(w)
 		}
--- a/internal/sidecar/loadlink_test.go
+++ b/internal/sidecar/loadlink_test.go
@@ -193,21 +193,29 @@
 // answers late, and with 1.1 of it nine tenths.
 func TestLinksAreSlowerThanConfiguredWithHiddenQueues(t *testing.T) {
 	for _, share := range []float64{0.97, 0.8} {
-		g := NewWithT(t)
-		const length, mbps = 20 * time.Second, 20
-		services, routes := downloadScenario(158, mbps)
-		w := simulateLoad(t, loadScenario{services: services, routes: routes, phases: []loadPhase{{length, 1}}, setUp: func(w *loadSimulation) {
-			for _, n := range w.nodes {
-				n.link.hidden, n.link.share = true, share
-			}
-		}})
-		downloads, statuses, capacity := w.tallies["download"], w.tallies["status"], w.downloadCapacity(length)
-		t.Logf("%.2f of the configured rate: %v, the links carry %.0f; calls %v", share, downloads, capacity, statuses)
-		g.Expect(float64(downloads.onTime)).To(BeNumerically(">=", 0.9*capacity))
-		g.Expect(statuses.onTime).To(BeNumerically(">=", statuses.sent*95/100))
+		for _, seed := range []uint64{1, 31, 36} {
+			testHiddenQueues(t, share, seed)
+		}
 	}
 }
 
+// testHiddenQueues runs downloads beyond links that have a share of their configured rate.
+// The seed matters: it decides how long the queues grow at the start until they are measured.
+func testHiddenQueues(t *testing.T, share float64, seed uint64) {
+	g := NewWithT(t)
+	const length, mbps = 20 * time.Second, 20
+	services, routes := downloadScenario(158, mbps)
+	w := simulateLoad(t, loadScenario{seed: seed, services: services, routes: routes, phases: []loadPhase{{length, 1}}, setUp: func(w *loadSimulation) {
+		for _, n := range w.nodes {
+			n.link.hidden, n.link.share = true, share
+		}
+	}})
+	downloads, statuses, capacity := w.tallies["download"], w.tallies["status"], w.downloadCapacity(length)
+	t.Logf("%.2f of the configured rate, seed %d: %v, the links carry %.0f; calls %v", share, seed, downloads, capacity, statuses)
+	g.Expect(float64(downloads.onTime)).To(BeNumerically(">=", 0.9*capacity))
+	g.Expect(statuses.onTime).To(BeNumerically(">=", statuses.sent*95/100))
+}
+
 // On links that are wide compared with the answers nothing is refused for lack of capacity.
 func TestDownloadsOverWideLinksAreNotRefused(t *testing.T) {
 	g := NewWithT(t)
