Refuse requests beyond the places for streams as not run

Cause: a burst of more requests on one link than there are places for streams (455 with memory-mb 128) closed the link with all its running requests, and a stream without a place was closed without an answer; entries took both for may-have-run and ejected the server. Change: such a request is refused as not run, unread and without id. A link is closed when it has 1,024 streams more than all places: so many an ordinary peer may have waiting.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -150,7 +150,7 @@
 		c.decideUpload(true)
 		head.Reset()
 	}
-	if head.GetId() != id {
+	if head.GetId() != id && !isUnreadRefusal(head) {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, ErrIDMismatch)
 	}
 	if refused := head.GetRefused(); refused != nil {
@@ -173,6 +173,13 @@
 	}, nil
 }
 
+// isUnreadRefusal reports whether a gate refused a request without having read it, and so
+// without its id: the gate has no place for another stream.
+func isUnreadRefusal(head *wire.AnswerHead) bool {
+	refused := head.GetRefused()
+	return head.GetId() == "" && refused != nil && verdict.Verdict(refused.GetVerdict()) == verdict.NotRun
+}
+
 // decideUpload decides whether a held body is sent. Only the first call has an effect.
 func (c *clientCall) decideUpload(send bool) {
 	select {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -58,6 +58,10 @@
 	s.server.Serve(ctx, opening.GetRequest(), stream)
 }
 
+func (s streamHandler) RefuseStream(_ link.Class, stream *link.Stream) error {
+	return s.server.Refuse(stream)
+}
+
 // newClientAndServer returns a client and the address of a server that runs requests
 // with run, or passes their streams to serveRaw if set.
 func newClientAndServer(run runnerFunc, serveRaw func(*wire.RequestHead, *link.Stream)) (*exchange.Client, string) {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -91,7 +91,7 @@
 	answer, err := s.runner.Run(ctx, r)
 	body.beginAnswer()
 	if err != nil {
-		s.sendRefusal(stream, r, receivedAt, err)
+		_ = s.sendRefusal(stream, r, receivedAt, err) // the peer sees the end of the stream
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -104,14 +104,25 @@
 	}
 }
 
-func (s *Server) sendRefusal(stream *link.Stream, r *contract.Request, receivedAt time.Time, err error) {
+// fullRetryAfter is the time after which a refused stream may find a place: a request under a
+// large burst takes some tens of milliseconds.
+const fullRetryAfter = 200 * time.Millisecond
+
+// Refuse refuses a request that has no place and was not read. The refusal has no id.
+func (s *Server) Refuse(stream *link.Stream) error {
+	// Proof: the request was not read, so nothing was handed to the server.
+	return s.sendRefusal(stream, &contract.Request{}, time.Now(), verdict.Refuse(verdict.ReasonOverloaded, fullRetryAfter))
+}
+
+func (s *Server) sendRefusal(stream *link.Stream, r *contract.Request, receivedAt time.Time, err error) error {
 	head := &wire.AnswerHead{
 		Id: r.ID, Refused: encodeRefusal(verdict.FromError(err), s.version()), Load: encodeLoad(s.runner.Load()),
 		HeldMicros: encodeMicros(time.Since(receivedAt)),
 	}
-	if stream.Send(head) == nil {
-		_ = stream.Flush()
+	if err := stream.Send(head); err != nil {
+		return err
 	}
+	return stream.Flush()
 }
 
 func (s *Server) sendAnswer(ctx context.Context, stream *link.Stream, r *contract.Request, a *contract.Answer) (sent bool) {
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -57,7 +57,7 @@
 
 func (c Config) yamux() *yamux.Config {
 	y := yamux.DefaultConfig()
-	y.AcceptBacklog = 1024
+	y.AcceptBacklog = acceptBacklog
 	y.EnableKeepAlive = c.KeepAliveInterval > 0
 	if y.EnableKeepAlive {
 		y.KeepAliveInterval = c.KeepAliveInterval
--- a/internal/link/limits.go
+++ b/internal/link/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -33,11 +35,15 @@
 	// openingTimeout bounds the time from the opening of a stream to its first message,
 	// which ordinary peers send at once.
 	openingTimeout = 10 * time.Second
-	// streamsPerLinkDivisor yields the share of all streams that one link may have.
-	streamsPerLinkDivisor = 2
-	// halfClosedFactor is the number of streams that one link may have for each that it may
-	// use: those that are closed on one side count, too.
-	halfClosedFactor = 2
+	// acceptBacklog is the number of streams of a link that may wait to be accepted. A peer
+	// opens no more before the first ones are accepted.
+	acceptBacklog = 1024
+	// refusalFactor yields the streams that lost their place and may wait for their refusal,
+	// by the number of all streams: those to a peer that reads nothing take memory, too. A
+	// waiting one takes a stack of some 5 KiB, a fifth of a stream with a place.
+	refusalFactor = 2
+	// refusalTimeout bounds the time in which a refusal is sent.
+	refusalTimeout = time.Second
 	// logInterval is the shortest time between two lines about closed links.
 	logInterval = 10 * time.Second
 )
@@ -46,7 +52,9 @@
 type intake struct {
 	links, streams *listen.Places
 	inboxes        *inboxes
-	perLink        int // 0 sets no limit
+	streamLimit    int // 0 sets no limit
+	// refusing counts the streams that lost their place and are being refused.
+	refusing atomic.Int64
 	// excessive and malformed count links closed for their streams or messages.
 	excessive, malformed func()
 	// lines bounds the log lines about such links.
@@ -63,15 +71,54 @@
 	}
 	return &intake{
 		links: listen.NewPlaces(l.Links, counter("connections")), streams: listen.NewPlaces(l.Streams, counter("streams")),
-		inboxes: newInboxes(l.Bytes, counter("bytes")), perLink: l.Streams / streamsPerLinkDivisor,
+		inboxes: newInboxes(l.Bytes, counter("bytes")), streamLimit: l.Streams,
 		excessive: counter("streams"), malformed: counter("malformed"),
 		lines: rate.Sometimes{Interval: logInterval},
 	}
 }
 
-// overStreams reports whether a link has more streams than an ordinary peer opens.
+// overStreams reports whether a link has more streams than an ordinary peer opens. Besides
+// those that have a place, streams count that wait to be accepted or that only the peer has
+// not closed yet. Closing the link ends the requests that run, so a burst must not cause it.
 func (i *intake) overStreams(session *yamux.Session) bool {
-	return i.perLink > 0 && session.NumStreams() > i.perLink*halfClosedFactor
+	return i.streamLimit > 0 && session.NumStreams() > i.streamLimit+acceptBacklog
+}
+
+// beginRefusal reports whether one more stream that lost its place may wait for its refusal.
+// The caller must call endRefusal if so.
+func (i *intake) beginRefusal() bool {
+	if i.refusing.Add(1) <= int64(i.streamLimit*refusalFactor) {
+		return true
+	}
+	i.endRefusal()
+	return false
+}
+
+func (i *intake) endRefusal() {
+	i.refusing.Add(-1)
+}
+
+// refusals sends the refusals of one link one after the other.
+type refusals struct {
+	mu sync.Mutex
+	// failed reports that the peer did not take one in time. It gets no more.
+	failed bool
+}
+
+// refuse closes a stream that has no place. Without an answer its peer could not know that
+// the request has not run, so the handler refuses it first.
+func (r *refusals) refuse(handler Handler, class Class, conn inboxConn) {
+	refuser, ok := handler.(Refuser)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok || r.failed {
+		_ = conn.Close() // the peer sees the end of the stream
+		return
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // an error shows in the write
+	stream := newStream(conn)
+	defer stream.Close()
+	r.failed = refuser.RefuseStream(class, stream) != nil
 }
 
 // inboxConn counts what a stream's handler reads.
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -22,6 +22,12 @@
 	ServeStream(ctx context.Context, class Class, opening *wire.Opening, stream *Stream)
 }
 
+// Refuser is a Handler that refuses streams for which the listener has no place.
+type Refuser interface {
+	// RefuseStream tells the peer that its stream is not served. The opening was not read.
+	RefuseStream(class Class, stream *Stream) error
+}
+
 // Listener accepts incoming links and passes their streams to a Handler.
 type Listener struct {
 	cfg           Config
@@ -45,6 +51,8 @@
 	conn  *coalescingConn
 	place *listen.Place
 	inbox *inbox
+	// refusals refuses the streams that have no place.
+	refusals *refusals
 }
 
 // NewListener returns a Listener that accepts connections from a TCP listener.
@@ -101,7 +109,7 @@
 		_ = conn.Close()
 		return
 	}
-	accepted.place = place
+	accepted.place, accepted.refusals = place, &refusals{}
 	defer l.intake.inboxes.remove(accepted.inbox)
 	if !l.track(session, accepted) {
 		_ = session.Close()
@@ -117,8 +125,16 @@
 			l.intake.excessive()
 			return
 		}
+		// An error of a deadline shows in the read. The place's loss expires it later.
+		_ = stream.SetReadDeadline(time.Now().Add(openingTimeout))
+		place := l.intake.streams.Enter(func() { _ = stream.SetReadDeadline(pastDeadline) }, time.Now())
+		if place == nil {
+			// More streams of the link wait meanwhile, without a goroutine.
+			accepted.refusals.refuse(l.handler, accepted.class, inboxConn{stream, accepted.inbox})
+			continue
+		}
 		l.goroutines.Add(1)
-		go l.serveStream(ctx, session, accepted, stream)
+		go l.serveStream(ctx, session, accepted, stream, place)
 	}
 }
 
@@ -147,21 +163,21 @@
 	return session, accepted, nil
 }
 
-func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, accepted acceptedLink, conn *yamux.Stream) {
+func (l *Listener) serveStream(ctx context.Context, session *yamux.Session, accepted acceptedLink, conn *yamux.Stream, place *listen.Place) {
 	defer l.goroutines.Done()
-	// An error of a deadline shows in the read. The place's loss expires it later.
-	_ = conn.SetReadDeadline(time.Now().Add(openingTimeout))
-	place := l.intake.streams.Enter(func() { _ = conn.SetDeadline(pastDeadline) }, time.Now())
-	if place == nil {
-		_ = inboxConn{conn, accepted.inbox}.Close()
-		return
-	}
 	defer place.Leave()
 	stream := newStream(inboxConn{conn, accepted.inbox})
 	stream.maxMessage = maxIncomingBytes
-	defer stream.Close()
 	opening := &wire.Opening{}
-	if err := l.receiveOpening(stream, place, opening); err != nil {
+	err := l.receiveOpening(stream, place, opening)
+	if errors.Is(err, errPlaceLost) && l.intake.beginRefusal() {
+		defer l.intake.endRefusal()
+		stream.release()
+		accepted.refusals.refuse(l.handler, accepted.class, inboxConn{conn, accepted.inbox})
+		return
+	}
+	defer stream.Close()
+	if err != nil {
 		l.closeIfMalformed(session, err)
 		return
 	}
@@ -177,15 +193,19 @@
 	l.handler.ServeStream(ctx, accepted.class, opening, stream)
 }
 
+// errPlaceLost reports that the place of a stream was given to another one before its first
+// message was complete.
+var errPlaceLost = eris.New("place of the stream was given to another")
+
 // receiveOpening receives the first message of a stream and takes its read deadline away.
 func (l *Listener) receiveOpening(stream *Stream, place *listen.Place, opening *wire.Opening) error {
 	size, err := stream.receive(opening)
+	if !place.Begin(time.Now()) {
+		return errPlaceLost
+	}
 	if err != nil {
 		return err
 	}
-	if !place.Begin(time.Now()) {
-		return ErrClosed
-	}
 	if !keepOpening(stream.conn, opening, size) {
 		return eris.Wrapf(ErrMalformed, "more than %d headers", maxOpeningHeaders)
 	}
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -146,9 +146,19 @@
 	s.closeOnce.Do(func() {
 		s.unbind()
 		_ = s.conn.Close()
-		s.reader.Reset(nil)
-		s.writer.Reset(io.Discard)
-		readerPool.Put(s.reader)
-		writerPool.Put(s.writer)
+		s.returnBuffers()
 	})
 }
+
+// release ends the use of the stream, which is not bound to a context, without closing its
+// connection.
+func (s *Stream) release() {
+	s.closeOnce.Do(s.returnBuffers)
+}
+
+func (s *Stream) returnBuffers() {
+	s.reader.Reset(nil)
+	s.writer.Reset(io.Discard)
+	readerPool.Put(s.reader)
+	writerPool.Put(s.writer)
+}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -24,3 +24,12 @@
 	}
 	s.control.Serve(ctx, opening, stream)
 }
+
+// RefuseStream refuses a request that has no place. The node that asks for anything else
+// tries again.
+func (s *streams) RefuseStream(class link.Class, stream *link.Stream) error {
+	if class != link.ClassRequest {
+		return nil
+	}
+	return s.requests.Refuse(stream)
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// RefuseStream refuses a request that has no place. The node that asks for anything else
+// tries again.
+func (s *streamServer) RefuseStream(class link.Class, stream *link.Stream) error {
+	if class != link.ClassRequest {
+		return nil
+	}
+	return s.requests.Refuse(stream)
+}
+
 // maxStateWait bounds the wait of a query, which holds a stream; nodes ask for some seconds.
 const maxStateWait = time.Minute
 
