Keep no quotas beside servers that a restored store lists again

Cause: a withheld server is ready by its record, so its ended node became the home of quotas. Change: withheld servers count as ones that leave. Run: go test ./internal/sidecar -run Quota: the new test fails before, all pass after.

--- a/internal/sidecar/quotaguard_test.go
+++ b/internal/sidecar/quotaguard_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"boragefall/internal/catalog"
 	"boragefall/internal/link"
 	"boragefall/internal/mesh"
 	"boragefall/internal/quota"
@@ -220,3 +221,18 @@
 		w.Expect(len(w.roles)).To(BeNumerically("<=", requests/10), "requests for credits")
 	})
 }
+
+// Guards against quotas that are kept by a node which ended, whose server a restored store
+// still lists.
+func TestQuotasHaveNoHomeBesideWithheldServer(t *testing.T) {
+	g := NewWithT(t)
+	l := newQuotaLedger("10.0.0.3:7000", "7000", quota.Tolerance{}, nil, &atomic.Bool{})
+	l.update(&catalog.View{Servers: map[mesh.ServerID]*catalog.Listing{
+		"a": {Server: &mesh.Server{ID: "a", Address: "10.0.0.1:1"}, Withheld: true},
+		"b": {Server: &mesh.Server{ID: "b", Address: "10.0.0.2:1"}},
+	}})
+	for _, workspace := range []string{"north", "south", "east", "west"} {
+		first, _ := l.rank(workspace)
+		g.Expect(first).To(Equal("10.0.0.2:7000"))
+	}
+}
--- a/internal/sidecar/quotaledger.go
+++ b/internal/sidecar/quotaledger.go
@@ -37,11 +37,12 @@
 }
 
 // update applies a new view of the mesh. The nodes beside servers that leave keep no
-// quotas, since they end soon.
+// quotas, since they end soon, nor do those beside servers that ended and that a restored
+// store lists again.
 func (l *quotaLedger) update(v *catalog.View) {
 	var addresses []string
 	for _, server := range v.Servers {
-		if server.State == mesh.ServerReady {
+		if server.State == mesh.ServerReady && !server.Withheld {
 			addresses = append(addresses, net.JoinHostPort(server.IP(), l.linkPort))
 		}
 	}
