Count the risk of a refusal as time again

Without it, TestServersOfUnevenSpeedServeOnTime and TestSlowPeriodsAreFollowed fail: 2% of the requests are refused by gates that entries take for on time.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -369,6 +369,7 @@
 	serviceTime := s.expectedServiceTime(meanServiceTime, age)
 	concurrency := s.concurrency(l.Slots)
 	busy := b.expectedLoad(s, concurrency, age)
+	c.add(partCrowding, meanServiceTime.Seconds()*crowdingCost*crowding(min(busy/concurrency, 1)))
 	c.add(partWork, work*serviceTime.Seconds()*(1+utilizationPenalty*min(busy/concurrency, 1)))
 	if excess := busy + 1 - concurrency; excess > 0 {
 		c.add(partQueue, serviceTime.Seconds()*excess/concurrency)
@@ -385,8 +386,6 @@
 	if r.Objective > 0 && c.total > lateThreshold*r.Objective.Seconds() {
 		c.add(partLate, lateCost.Seconds())
 	}
-	// The risk of a refusal takes no time, so it doesn't make an answer late.
-	c.add(partCrowding, meanServiceTime.Seconds()*crowdingCost*crowding(min(busy/concurrency, 1)))
 	c.add(partFailures, failureCost.Seconds()*s.load.FailureRate*decay(age, serviceTimeDecay))
 	if s.outstanding > 0 {
 		// A host that lost power or hangs sends no answer.
