--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -26,8 +26,8 @@
 const continueThresholdBytes = 16 << 10
 
 // crossingContinueThresholdBytes is that length for a gate in another data centre, where
-// bytes are billed. The additional round trip takes a millisecond or two, and a gate that is
-// full refuses without having received the body.
+// bytes are billed, if the request may be queued there: other gates were full, so this one
+// may refuse it, too. A first attempt is not delayed by the additional round trip.
 const crossingContinueThresholdBytes = 1 << 10
 
 const traceParentHeader = "traceparent"
@@ -94,7 +94,7 @@
 // awaitsContinue reports whether a request's body is sent only when the gate requests it.
 func awaitsContinue(r *contract.Request) bool {
 	threshold := int64(continueThresholdBytes)
-	if r.CrossesDataCentres {
+	if r.CrossesDataCentres && r.AllowDelay {
 		threshold = crossingContinueThresholdBytes
 	}
 	return r.ContentLength < 0 || r.ContentLength > threshold
