Limit runs whose calls are refused only where the settings ask for it

On hosts that run out of processor time before the called servers run out of slots, each refused run costs further attempts.

--- a/internal/callbudget/budget.go
+++ b/internal/callbudget/budget.go
@@ -119,14 +119,18 @@
 
 // Budget holds the observations and limits of one gate. It is safe for concurrent use.
 type Budget struct {
+	// limits reports that runs may be refused; otherwise they are only counted.
+	limits bool
+
 	mu      sync.Mutex
 	classes *simplelru.LRU[Class, *class]
 	totals  Totals
 }
 
-// New returns a budget that permits every run.
-func New() *Budget {
-	b := &Budget{}
+// New returns a budget that permits every run. If limits is false, it goes on to do so and
+// only counts.
+func New(limits bool) *Budget {
+	b := &Budget{limits: limits}
 	classes, err := simplelru.NewLRU[Class, *class](maxClasses, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1
--- a/internal/callbudget/budget_test.go
+++ b/internal/callbudget/budget_test.go
@@ -53,7 +53,7 @@
 // its return all runs start.
 func TestCalledServiceIsGoneAndReturns(t *testing.T) {
 	g := NewWithT(t)
-	s := &scene{budget: New(), perSecond: 50, callEvery: 1, now: start}
+	s := &scene{budget: New(true), perSecond: 50, callEvery: 1, now: start}
 	s.play(5*time.Second, 1000)
 	_, wasted := s.play(10*time.Second, 0)
 	g.Expect(wasted).To(BeNumerically("<", 50), "of 500 runs")
@@ -66,7 +66,7 @@
 // A refusal states when the called service has capacity.
 func TestRefusalStatesWhenTheCalledServiceHasCapacity(t *testing.T) {
 	g := NewWithT(t)
-	s := &scene{budget: New(), perSecond: 50, callEvery: 1, now: start}
+	s := &scene{budget: New(true), perSecond: 50, callEvery: 1, now: start}
 	s.play(3*time.Second, 0)
 	_, refusal := s.budget.Start(Request{Class: Class{Route: "visit"}}, s.now)
 	g.Expect(refusal.Service).To(Equal("archive"))
@@ -80,10 +80,10 @@
 // which few make calls, or of which half do and no other request needs the slots, start.
 func TestRunsThatMayNeedNoCallAreStarted(t *testing.T) {
 	g := NewWithT(t)
-	rare := &scene{budget: New(), perSecond: 100, callEvery: 50, contended: true, now: start}
+	rare := &scene{budget: New(true), perSecond: 100, callEvery: 50, contended: true, now: start}
 	started, _ := rare.play(20*time.Second, 0)
 	g.Expect(started).To(Equal(2000))
-	half := &scene{budget: New(), perSecond: 100, callEvery: 2, now: start}
+	half := &scene{budget: New(true), perSecond: 100, callEvery: 2, now: start}
 	started, _ = half.play(10*time.Second, 0)
 	g.Expect(started).To(BeNumerically(">=", 950))
 }
@@ -91,7 +91,7 @@
 // A server of another version makes no calls any more: the limit must end without them.
 func TestLimitEndsWhenRunsMakeNoCalls(t *testing.T) {
 	g := NewWithT(t)
-	s := &scene{budget: New(), perSecond: 50, callEvery: 1, now: start}
+	s := &scene{budget: New(true), perSecond: 50, callEvery: 1, now: start}
 	s.play(3*time.Second, 0)
 	s.callEvery = 1 << 30
 	s.play(8*time.Second, 0)
@@ -102,7 +102,7 @@
 // all runs of a class, whatever the calls do.
 func TestBudgetIsBoundedAndNeverStopsARoute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, now, refusedCall := New(), start, false
+		b, now, refusedCall := New(true), start, false
 		for i := range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
 			key := Class{Route: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "route") * (i + 1))}
@@ -131,7 +131,7 @@
 // calls that start always, and are then refused for lack of a slot, would lift the limit.
 func TestRunBeyondTheLimitReturnsNothingToIt(t *testing.T) {
 	g := NewWithT(t)
-	s := &scene{budget: New(), perSecond: 50, callEvery: 1, now: start}
+	s := &scene{budget: New(true), perSecond: 50, callEvery: 1, now: start}
 	s.play(3*time.Second, 0)
 	var refusal *Refusal
 	for refusal == nil {
--- a/internal/callbudget/class.go
+++ b/internal/callbudget/class.go
@@ -179,6 +179,9 @@
 func (c *class) lower(r *Run, byServer bool, now time.Time) (Limit, bool) {
 	c.refused.add(1, now)
 	c.wasted.add(1, now)
+	if !r.budget.limits {
+		return Limit{}, false
+	}
 	c.grow(now)
 	if c.wasted.valueAt(now) < minRefusedRuns || c.wastedShare(now) <= toleratedWaste {
 		return Limit{}, false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,9 @@
 	QuotaOvershoot, QuotaSlack float64
 	// MemoryMB is the memory that the process may use, in MiB. Default 128.
 	MemoryMB int
+	// LimitWastedRuns reports that a gate refuses new runs while calls of such runs are being
+	// refused. Default false.
+	LimitWastedRuns bool
 	// MaxFDs is the number of descriptors that the process may open. 0, the default, means
 	// the process's own limit (RLIMIT_NOFILE).
 	MaxFDs int
@@ -191,6 +194,7 @@
 	flags.Float64Var(&s.QuotaOvershoot, "quota-overshoot", 0, "`share` by which a quota may be exceeded in a window")
 	flags.Float64Var(&s.QuotaSlack, "quota-slack", 0, "additional `requests` above a quota permitted in a window")
 	flags.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory in `MiB` that the process may use")
+	flags.BoolVar(&s.LimitWastedRuns, "limit-wasted-runs", false, "refuse new runs while calls of such runs are being refused")
 	flags.IntVar(&s.MaxFDs, "max-fds", 0, "`descriptors` that the process may open, 0 for the process's own limit")
 	flags.Float64Var(&s.LinkMbps, "link-mbps", defaultLinkMbps, "rate of the host's link in `Mbit/s`")
 	flags.IntVar(&s.ControlBytesPerSecond, "control-bytes-per-second", defaultControlBytes, "`bytes` of control traffic sent a second")
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -108,6 +108,8 @@
 	// that is not known.
 	LinkBacklog func() int64
 	ColdLimit   ColdStartLimit
+	// LimitRuns reports that runs may be refused while calls of such runs are refused.
+	LimitRuns bool
 	// MarkLeaving records that a server stated that it leaves.
 	MarkLeaving func(*mesh.Server)
 	// Drain holds the time until which this node delivers answers while it is stopping.
@@ -150,7 +152,7 @@
 		address: cfg.Address, service: cfg.Service, view: cfg.View, client: cfg.Client,
 		crashes: cfg.Crashes, bodies: cfg.Bodies, coldLimit: cfg.ColdLimit, markLeaving: cfg.MarkLeaving, drain: cfg.Drain, staleCopy: cfg.StaleCopy, onFirstProbe: cfg.OnFirstProbe, logger: cfg.Logger, handedOverByID: handedOverByID,
 		gate: admission.NewGate(1, 0), answers: newAnswerBudget(cfg.LinkMbps, cfg.LinkBacklog, cfg.Logger),
-		callBudget: callbudget.New(),
+		callBudget: callbudget.New(cfg.LimitRuns),
 	}
 	h.prober = &prober{hop: h}
 	return h, nil
--- a/internal/sidecar/loadnode_test.go
+++ b/internal/sidecar/loadnode_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		panic(err)
 	}
-	n.hop, err = NewLastHop(LastHopConfig{
+	n.hop, err = NewLastHop(LastHopConfig{LimitRuns: true,
 		StaleCopy: func(time.Time) bool { return false }, OnFirstProbe: func() {}, Drain: &drainEnd{},
 		ColdLimit: ColdStartLimit{Overshoot: 1.5}, Address: n.id + ":8000", Service: n.service, View: n.simulation.catalog.View,
 		Client: n, Crashes: crashes, Logger: telemetry.Silent(), Bodies: newBodyReceiver(n.link.mbps, 128),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -257,7 +257,8 @@
 
 func newLastHop(s settings.Settings, c *catalog.Catalog, store *feed.Feed, client *serverconn.Client, p *crashTracker, notices *crashSync, state *nodeState, links *linkServer, logger *log.Logger) (*LastHop, error) {
 	return NewLastHop(LastHopConfig{
-		Address: s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, OnFirstProbe: notices.fetch, Logger: logger,
+		LimitRuns: s.LimitWastedRuns,
+		Address:   s.Backend, Service: s.Service, View: c.View, Client: client, Crashes: p, MarkLeaving: c.MarkLeaving, Drain: &state.drain, OnFirstProbe: notices.fetch, Logger: logger,
 		StaleCopy: func(now time.Time) bool { return store.Age(now) > s.ConfigPropagationLimit },
 		LinkMbps:  s.LinkMbps, LinkBacklog: links.unsentBytes,
 		Bodies: newBodyReceiver(s.LinkMbps, s.MemoryMB), ColdLimit: ColdStartLimit{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
