--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"slices"
@@ -40,29 +41,41 @@
 	logger  *log.Logger
 	view    atomic.Pointer[View]
 
-	mu       sync.Mutex
-	revision uint64
-	// advanced is closed and replaced when revision increases.
+	mu      sync.Mutex
+	version Version
+	// eraStart is the version of the first list or copy of the present era. Items of a
+	// later revision were written after the store was restored.
+	eraStart Version
+	// advanced is closed and replaced when version increases.
 	advanced chan struct{}
 	items    map[string]Item
-	// tombstones counts the deleted items in items. Tombstones up to
-	// compactedRevision were discarded.
-	tombstones        int
-	compactedRevision uint64
-	// gaps holds the revisions that lists and copies skipped, in order: items that were
-	// created and deleted in between left no tombstone.
-	gaps    []revisionRange
-	config  *mesh.Config
-	routes  *mesh.RouteTable
-	servers map[mesh.ServerID]*Listing
+	// tombstones counts the deleted items in items. Tombstones up to compacted were
+	// discarded.
+	tombstones int
+	compacted  Version
+	// gaps holds the versions of the present era that lists and copies skipped, in order:
+	// items that were created and deleted in between left no tombstone.
+	gaps   []versionRange
+	config *mesh.Config
+	// configItem is the item that config was decoded from.
+	configItem Item
+	routes     *mesh.RouteTable
+	servers    map[mesh.ServerID]*Listing
 	// leaving holds the servers that stated that they leave, with their start times. It is
 	// bounded and outlives their records: a record that expired may be back.
 	leaving *simplelru.LRU[mesh.ServerID, int64]
+	// endings holds the newest incarnations that were draining, leaving or gone, for records
+	// that a restored store brings back.
+	endings *simplelru.LRU[mesh.ServerID, ending]
 	// suspectUntil holds, for each suspect server, the time at which it is removed.
 	suspectUntil map[mesh.ServerID]time.Time
 	evacuated    map[string]bool
+	// evacuatedUntil holds, for each evacuation that is missing since the store was
+	// restored, the time at which it ends.
+	evacuatedUntil map[string]time.Time
 	// storeUnavailable reports that the store does not respond to this node. Until
-	// graceUntil, the end of a record may be an expiry that an outage caused.
+	// graceUntil, the end of a record may be an expiry that an outage caused, or a write
+	// that was lost when the store was restored.
 	storeUnavailable bool
 	graceUntil       time.Time
 	listeners        []func(*View)
@@ -74,16 +87,22 @@
 	if err != nil {
 		panic(err) // only if maxLeaving is not positive
 	}
+	endings, err := simplelru.NewLRU[mesh.ServerID, ending](maxEndings, nil)
+	if err != nil {
+		panic(err) // only if maxEndings is not positive
+	}
 	c := &Catalog{
-		leaving:           leaving,
-		decoder:           decoder,
-		logger:            logger,
-		advanced:          make(chan struct{}),
-		items:             map[string]Item{},
-		compactedRevision: 1,
-		servers:           map[mesh.ServerID]*Listing{},
-		suspectUntil:      map[mesh.ServerID]time.Time{},
-		evacuated:         map[string]bool{},
+		leaving:        leaving,
+		endings:        endings,
+		decoder:        decoder,
+		logger:         logger,
+		advanced:       make(chan struct{}),
+		items:          map[string]Item{},
+		compacted:      Version{Revision: 1},
+		servers:        map[mesh.ServerID]*Listing{},
+		suspectUntil:   map[mesh.ServerID]time.Time{},
+		evacuated:      map[string]bool{},
+		evacuatedUntil: map[string]time.Time{},
 	}
 	c.publish()
 	return c
@@ -104,64 +123,83 @@
 	listener(c.view.Load())
 }
 
-// Apply applies events of the store. revision is the store's revision after them.
-func (c *Catalog) Apply(events []Item, revision uint64, now time.Time) {
+// Apply applies events of the store. version is the store's version after them. It reports
+// false, and applies nothing, if the events are of another era than the catalog: they
+// continue no list of that era.
+func (c *Catalog) Apply(events []Item, version Version, now time.Time) bool {
 	decoded := c.decode(events)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if version.Era != c.version.Era {
+		return false
+	}
 	changed := false
 	for _, d := range decoded {
-		changed = !c.isOutdated(d.Item, 0) && c.applyItem(d, now) || changed
+		changed = !c.isOutdated(d.Item, Version{}) && c.applyItem(d, now) || changed
 	}
-	c.advanceRevision(revision)
-	c.expireSuspects(now)
+	c.advanceTo(version)
+	changed = c.expire(now) || changed
 	if changed {
 		c.publish()
 	}
+	return true
 }
 
-// Replace applies a complete list of items at a revision. Items that are missing from
-// the list are deleted unless they changed after that revision.
-func (c *Catalog) Replace(items []Item, revision uint64, now time.Time) {
+// Replace applies a complete list of items at a version. Items that are missing from the
+// list are deleted unless they changed after that version. It reports false, and applies
+// nothing, if the list is of an older era than the catalog.
+func (c *Catalog) Replace(items []Item, version Version, now time.Time) bool {
 	decoded := c.decode(items)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deleteMissing(keysOf(items), revision, now)
+	if version.Era < c.version.Era {
+		return false
+	}
+	entered := c.enterEra(version, now)
+	c.deleteMissing(keysOf(items), version, entered, now)
 	for _, d := range decoded {
-		if !c.isOutdated(d.Item, revision) {
+		if !c.isOutdated(d.Item, version) {
 			c.applyItem(d, now)
 		}
 	}
-	c.skipTo(revision)
-	c.advanceRevision(revision)
-	c.expireSuspects(now)
+	c.skipTo(version)
+	c.advanceTo(version)
+	c.expire(now)
 	c.publish()
+	return true
 }
 
-// Merge applies the changes of a peer's copy if the peer's revision is newer.
-func (c *Catalog) Merge(changes Changes, now time.Time) {
-	items, revision := changes.Items, changes.Revision
-	if revision <= c.Revision() {
-		return
+// Merge applies the changes of a peer's copy if the peer's version is newer. It reports
+// false if the copy says nothing about the present era: it is of an older era, or of a
+// newer one and not complete.
+func (c *Catalog) Merge(changes Changes, now time.Time) bool {
+	items, version := changes.Items, changes.Version
+	if known := c.Version(); version.Era == known.Era && !version.IsNewerThan(known) {
+		return true
 	}
 	decoded := c.decode(items)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision <= c.revision {
-		return
+	switch {
+	case version.Era < c.version.Era || version.Era > c.version.Era && !changes.Complete:
+		return false
+	case !version.IsNewerThan(c.version):
+		return true
 	}
+	entered := c.enterEra(version, now)
 	if changes.Complete {
-		c.deleteMissing(keysOf(items), revision, now)
+		c.deleteMissing(keysOf(items), version, entered, now)
 	}
 	for _, d := range decoded {
 		c.applyItem(d, now)
 	}
 	if !changes.Gapless {
-		c.skipTo(revision)
+		c.skipTo(version)
 	}
-	c.advanceRevision(revision)
-	c.expireSuspects(now)
+	c.advanceTo(version)
+	c.expire(now)
 	c.publish()
+	return true
 }
 
 // decodedItem is an item with its decoded content.
@@ -193,7 +231,7 @@
 // isNew reports whether an item is newer than the catalog's item with the same key.
 func (c *Catalog) isNew(item Item) bool {
 	known, ok := c.items[item.Key]
-	return !ok || item.Revision > known.Revision
+	return !ok || item.Version.IsNewerThan(known.Version)
 }
 
 func keysOf(items []Item) map[string]bool {
@@ -204,94 +242,94 @@
 	return keys
 }
 
-// ChangesSince returns the items that changed after a revision, and the catalog's
-// revision. When it does not hold all deletions since that revision, it returns all
-// existing items instead, and complete is true.
-func (c *Catalog) ChangesSince(revision uint64) Changes {
+// ChangesSince returns the items that changed after a version, and the catalog's version.
+// When it does not hold all deletions since that version, or the version is of another era,
+// it returns all existing items instead, and Complete is true.
+func (c *Catalog) ChangesSince(version Version) Changes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := Changes{Complete: c.lacksDeletionsSince(revision), Revision: c.revision}
+	changes := Changes{Complete: version.Era != c.version.Era || c.lacksDeletionsSince(version), Version: c.version}
 	changes.Gapless = !changes.Complete &&
-		!slices.ContainsFunc(c.gaps, func(gap revisionRange) bool { return gap.before > revision+1 })
+		!slices.ContainsFunc(c.gaps, func(gap versionRange) bool { return gap.before.IsNewerThan(version.next()) })
 	for _, item := range c.items {
-		if changes.Complete && !item.Deleted || !changes.Complete && item.Revision > revision {
+		if changes.Complete && !item.Deleted || !changes.Complete && item.Version.IsNewerThan(version) {
 			changes.Items = append(changes.Items, item)
 		}
 	}
 	return changes
 }
 
-// Changes is what changed in a store since a revision.
+// Changes is what changed in a store since a version.
 type Changes struct {
 	// Items are the items that changed since; if Complete is set, all that exist.
 	Items    []Item
 	Complete bool
-	// Gapless reports that Items hold all deletions since the revision, also of items that
+	// Gapless reports that Items hold all deletions since the version, also of items that
 	// were created after it.
 	Gapless bool
-	// Revision is the revision of the store after the changes.
-	Revision uint64
+	// Version is the version of the store after the changes.
+	Version Version
 }
 
-// revisionRange is a range of revisions without its ends.
-type revisionRange struct {
-	after, before uint64
+// versionRange is a range of versions of one era without its ends.
+type versionRange struct {
+	after, before Version
 }
 
-func (r revisionRange) contains(revision uint64) bool {
-	return r.after < revision && revision < r.before
+func (r versionRange) contains(version Version) bool {
+	return version.IsNewerThan(r.after) && r.before.IsNewerThan(version)
 }
 
-// lacksDeletionsSince reports whether a replica at a revision may hold items that were
+// lacksDeletionsSince reports whether a replica at a version may hold items that were
 // deleted since and of which the catalog has no tombstone.
-func (c *Catalog) lacksDeletionsSince(revision uint64) bool {
-	return revision < c.compactedRevision ||
-		slices.ContainsFunc(c.gaps, func(gap revisionRange) bool { return gap.contains(revision) })
+func (c *Catalog) lacksDeletionsSince(version Version) bool {
+	return c.compacted.IsNewerThan(version) ||
+		slices.ContainsFunc(c.gaps, func(gap versionRange) bool { return gap.contains(version) })
 }
 
-// skipTo records that a list or a copy takes the catalog from its revision to a later one.
-func (c *Catalog) skipTo(revision uint64) {
+// skipTo records that a list or a copy takes the catalog from its version to a later one.
+func (c *Catalog) skipTo(version Version) {
 	switch {
-	case revision <= c.revision:
+	case !version.IsNewerThan(c.version):
 		return
-	case c.revision < c.compactedRevision:
-		c.compactedRevision = max(c.compactedRevision, revision)
+	case c.compacted.IsNewerThan(c.version):
+		c.compacted = newest(c.compacted, version)
 		return
-	case c.revision+1 == revision:
+	case c.version.next() == version:
 		return // nothing was skipped
 	}
 	if len(c.gaps) == maxGaps {
-		c.compactedRevision = max(c.compactedRevision, c.gaps[0].before)
+		c.compacted = newest(c.compacted, c.gaps[0].before)
 		c.gaps = slices.Delete(c.gaps, 0, 1)
 	}
-	c.gaps = append(c.gaps, revisionRange{after: c.revision, before: revision})
+	c.gaps = append(c.gaps, versionRange{after: c.version, before: version})
 }
 
 // isOutdated reports whether an item that the catalog does not have may have been deleted
 // since, as the list or event that holds it is older than the catalog. listed is the
-// revision of the list, 0 for an event.
-func (c *Catalog) isOutdated(item Item, listed uint64) bool {
+// version of the list, the zero version for an event.
+func (c *Catalog) isOutdated(item Item, listed Version) bool {
 	if known, ok := c.items[item.Key]; item.Deleted || ok && !known.Deleted {
 		return false
 	}
-	at := max(listed, item.Revision)
-	return at < c.revision && c.lacksDeletionsSince(at)
+	at := newest(listed, item.Version)
+	return c.version.IsNewerThan(at) && c.lacksDeletionsSince(at)
 }
 
-// Revision returns the store revision that the catalog has reached.
-func (c *Catalog) Revision() uint64 {
+// Version returns the store version that the catalog has reached.
+func (c *Catalog) Version() Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.version
 }
 
-// Await blocks until the catalog is past a revision or the context ends.
-func (c *Catalog) Await(ctx context.Context, revision uint64) {
+// Await blocks until the catalog is past a version or the context ends.
+func (c *Catalog) Await(ctx context.Context, version Version) {
 	for {
 		c.mu.Lock()
-		known, advanced := c.revision, c.advanced
+		known, advanced := c.version, c.advanced
 		c.mu.Unlock()
-		if known > revision {
+		if known.IsNewerThan(version) {
 			return
 		}
 		select {
@@ -323,6 +361,9 @@
 	for id := range c.suspectUntil {
 		c.suspectUntil[id] = c.graceUntil
 	}
+	for dataCentre := range c.evacuatedUntil {
+		c.evacuatedUntil[dataCentre] = c.graceUntil
+	}
 	return true
 }
 
@@ -336,6 +377,7 @@
 		return
 	}
 	c.leaving.Add(server.ID, server.StartUnixMillis)
+	c.rememberEnding(server, c.version)
 	c.logger.Info().Str("part", "catalog").Str("server", string(server.ID)).Msg("server states that it leaves")
 	c.publish()
 }
@@ -346,44 +388,46 @@
 	return known && started == server.StartUnixMillis
 }
 
-// ExpireSuspects removes the suspect servers whose grace period is over. It is meant to
-// be called a few times per second.
+// ExpireSuspects removes the suspect servers, and ends the evacuations missing from a
+// restored store, whose grace period is over. It is meant to be called a few times per
+// second.
 func (c *Catalog) ExpireSuspects(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expireSuspects(now) {
+	if c.expire(now) {
 		c.publish()
 	}
 }
 
-func (c *Catalog) advanceRevision(revision uint64) {
-	if revision <= c.revision {
+func (c *Catalog) advanceTo(version Version) {
+	if !version.IsNewerThan(c.version) {
 		return
 	}
-	c.revision = revision
+	c.version = version
 	close(c.advanced)
 	c.advanced = make(chan struct{})
 }
 
-// applyItem applies an item unless the catalog has the same or a newer revision of its
+// applyItem applies an item unless the catalog has the same or a newer version of its
 // key. It reports whether the view may have changed.
 func (c *Catalog) applyItem(d decodedItem, now time.Time) bool {
 	item, record, err := d.Item, d.record, d.err
 	if !c.isNew(item) {
 		return false
 	}
+	replaced := c.items[item.Key]
 	c.storeItem(item)
 	if err != nil {
-		c.logger.Warn().Str("part", "catalog").Str("key", item.Key).Uint64("revision", item.Revision).
+		c.logger.Warn().Str("part", "catalog").Str("key", item.Key).Stringer("version", item.Version).
 			Err(err).Msg("store item is invalid")
 	}
 	switch record.Subject {
 	case SubjectConfig:
-		c.applyConfig(record.Config, item.Revision)
+		c.applyConfig(record.Config, item)
 	case SubjectServer:
-		c.applyServer(record, item, err != nil, now)
+		c.applyServer(record, item, replaced, err != nil, now)
 	case SubjectEvacuation:
-		c.applyEvacuation(record.DataCentre, !item.Deleted, item.Revision)
+		c.applyEvacuation(record.DataCentre, !item.Deleted, item.Version)
 	default:
 		return false
 	}
@@ -405,21 +449,37 @@
 	}
 	for key, old := range c.items {
 		if old.Deleted && key != item.Key {
-			c.compactedRevision = max(c.compactedRevision, old.Revision)
+			c.compacted = newest(c.compacted, old.Version)
 			delete(c.items, key)
 		}
 	}
 	c.tombstones = 1
 }
 
-// applyConfig replaces the configuration. The active configuration stays when the new
-// one is invalid or not newer.
-func (c *Catalog) applyConfig(config *mesh.Config, revision uint64) {
-	if config == nil || c.config != nil && config.Version <= c.config.Version {
+// applyConfig replaces the configuration. The active configuration stays when the new one
+// is invalid or not newer. In a newer era, another configuration may have the same version.
+func (c *Catalog) applyConfig(config *mesh.Config, item Item) {
+	if config == nil {
 		return
 	}
-	c.config, c.routes = config, mesh.NewRouteTable(config)
-	c.logger.Info().Str("part", "catalog").Uint64("version", config.Version).Uint64("revision", revision).
+	if c.config != nil {
+		restored := item.Version.Era > c.configItem.Version.Era
+		switch {
+		case config.Version < c.config.Version:
+			if restored {
+				c.logger.Warn().Str("part", "catalog").Uint64("version", c.config.Version).Uint64("stored", config.Version).
+					Stringer("at", item.Version).Msg("restored configuration is older than the one in force, which stays")
+			}
+			return
+		case config.Version == c.config.Version && !restored:
+			return
+		case config.Version == c.config.Version && bytes.Equal(item.Value, c.configItem.Value):
+			c.configItem = item
+			return
+		}
+	}
+	c.config, c.configItem, c.routes = config, item, mesh.NewRouteTable(config)
+	c.logger.Info().Str("part", "catalog").Uint64("version", config.Version).Stringer("at", item.Version).
 		Int("routes", len(config.Routes)).Int("defects", len(config.Defects)).Msg("configuration in force")
 	for _, defect := range config.Defects[:min(len(config.Defects), maxLoggedDefects)] {
 		c.logger.Warn().Str("part", "catalog").Uint64("version", config.Version).Str("name", defect.Name).
@@ -427,50 +487,60 @@
 	}
 }
 
-func (c *Catalog) applyServer(record Record, item Item, malformed bool, now time.Time) {
+// applyServer applies the record of a server. replaced is the item that the record's item
+// replaces.
+func (c *Catalog) applyServer(record Record, item, replaced Item, malformed bool, now time.Time) {
 	id := record.ServerID
 	if record.Server == nil {
-		c.removeServer(id, item.Revision, malformed, now)
+		c.removeServer(id, item.Version, malformed, now)
 		return
 	}
 	delete(c.suspectUntil, id)
-	listing := &Listing{Server: record.Server, Revision: item.Revision, FirstSeen: now}
+	listing := &Listing{Server: record.Server, Version: item.Version, FirstSeen: now}
 	if record.Server.ColdFor > 0 {
 		listing.ColdUntil = now.Add(record.Server.ColdFor)
 	}
 	old := c.servers[id]
 	if old != nil && old.SameIncarnation(record.Server) {
 		listing.FirstSeen = old.FirstSeen
+		if item.Version.Era != replaced.Version.Era && bytes.Equal(item.Value, replaced.Value) {
+			listing.ColdUntil = old.ColdUntil // the warm-up counts from the first time that the record was read
+		}
 	}
+	listing.Withheld = c.predatesEnding(record.Server, item.Version)
+	c.updateEnding(old, listing)
 	c.servers[id] = listing
-	if old == nil || old.State != listing.State || !old.SameIncarnation(record.Server) {
+	if old == nil || old.State != listing.State || old.Withheld != listing.Withheld || !old.SameIncarnation(record.Server) {
 		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Str("service", listing.Service).
-			Str("address", listing.Address).Bool("draining", listing.State == mesh.ServerDraining).
-			Dur("cold_for", record.Server.ColdFor).Uint64("revision", item.Revision).Msg("server registered")
+			Str("address", listing.Address).Bool("draining", listing.State == mesh.ServerDraining).Bool("withheld", listing.Withheld).
+			Dur("cold_for", record.Server.ColdFor).Stringer("version", item.Version).Msg("server registered")
 	}
 }
 
-// removeServer removes a server, or marks it as suspect when its record may have expired
-// only because the store was unavailable.
-func (c *Catalog) removeServer(id mesh.ServerID, revision uint64, malformed bool, now time.Time) {
+// removeServer removes a server, or marks it as suspect when its record may have ended
+// only because the store was unavailable or was restored.
+func (c *Catalog) removeServer(id mesh.ServerID, version Version, malformed bool, now time.Time) {
 	known, ok := c.servers[id]
 	if !ok {
 		return
 	}
-	if !malformed && known.State == mesh.ServerReady && (c.storeUnavailable || now.Before(c.graceUntil)) {
+	if !malformed && known.State == mesh.ServerReady && !known.Withheld && (c.storeUnavailable || now.Before(c.graceUntil)) {
 		suspect := *known
-		suspect.Suspect, suspect.Revision = true, revision
+		suspect.Suspect, suspect.Version = true, version
 		c.servers[id] = &suspect
 		c.suspectUntil[id] = c.graceUntil
-		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Uint64("revision", revision).
+		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Stringer("version", version).
 			Msg("server suspect: its record ended while the store was away")
 		return
 	}
+	delete(c.suspectUntil, id)
 	delete(c.servers, id)
-	c.logger.Info().Str("part", "catalog").Str("server", string(id)).Uint64("revision", revision).Msg("server gone")
+	c.rememberEnding(known.Server, version)
+	c.logger.Info().Str("part", "catalog").Str("server", string(id)).Stringer("version", version).Msg("server gone")
 }
 
-func (c *Catalog) applyEvacuation(dataCentre string, on bool, revision uint64) {
+func (c *Catalog) applyEvacuation(dataCentre string, on bool, version Version) {
+	delete(c.evacuatedUntil, dataCentre)
 	if c.evacuated[dataCentre] == on {
 		return
 	}
@@ -480,42 +550,51 @@
 		delete(c.evacuated, dataCentre)
 	}
 	c.logger.Info().Str("part", "catalog").Str("data_centre", dataCentre).Bool("evacuated", on).
-		Uint64("revision", revision).Msg("evacuation changed")
+		Stringer("version", version).Msg("evacuation changed")
 }
 
-// deleteMissing deletes the items that are missing from a complete list.
-func (c *Catalog) deleteMissing(listed map[string]bool, revision uint64, now time.Time) {
+// deleteMissing deletes the items that are missing from a complete list. restored reports
+// that the list is the first one of its era.
+func (c *Catalog) deleteMissing(listed map[string]bool, version Version, restored bool, now time.Time) {
 	for key, item := range c.items {
-		if !listed[key] && !item.Deleted && item.Revision <= revision {
-			d := decodedItem{Item: Item{Key: key, Revision: max(item.Revision+1, revision), Deleted: true}}
-			d.record, d.err = c.decoder.Decode(d.Item) // cheap, since a deleted item has no value
-			c.applyItem(d, now)
+		if listed[key] || item.Deleted || item.Version.IsNewerThan(version) {
+			continue
 		}
+		deletion := Item{Key: key, Version: newest(item.Version.next(), version), Deleted: true}
+		d := decodedItem{Item: deletion}
+		d.record, d.err = c.decoder.Decode(deletion) // cheap, since a deleted item has no value
+		if restored && d.record.Subject == SubjectEvacuation && c.evacuated[d.record.DataCentre] {
+			c.storeItem(deletion)
+			c.keepEvacuation(d.record.DataCentre, version)
+			continue
+		}
+		c.applyItem(d, now)
 	}
 }
 
-// expireSuspects removes suspect servers whose grace period is over. It reports whether
-// it removed any.
-func (c *Catalog) expireSuspects(now time.Time) bool {
+// expire removes the suspect servers and ends the missing evacuations whose grace period
+// is over. It reports whether it changed anything.
+func (c *Catalog) expire(now time.Time) bool {
 	if c.storeUnavailable {
 		return false
 	}
-	removed := false
+	changed := c.expireEvacuations(now)
 	for id, until := range c.suspectUntil {
 		if now.Before(until) {
 			continue
 		}
+		c.rememberEnding(c.servers[id].Server, c.servers[id].Version)
 		delete(c.suspectUntil, id)
 		delete(c.servers, id)
-		removed = true
+		changed = true
 		c.logger.Info().Str("part", "catalog").Str("server", string(id)).Msg("suspect server gone")
 	}
-	return removed
+	return changed
 }
 
 func (c *Catalog) publish() {
 	v := &View{
-		Revision:  c.revision,
+		Version:   c.version,
 		Config:    c.config,
 		Routes:    c.routes,
 		Servers:   make(map[mesh.ServerID]*Listing, len(c.servers)),
--- a/internal/catalog/item.go
+++ b/internal/catalog/item.go
@@ -1,6 +1,6 @@
 // Package catalog replicates the state of the mesh from the store: the configuration,
 // the backend servers and the evacuated data centres. It applies events in the order of
-// their revisions, never reverts to an older revision of a key, and publishes an
+// their versions, never reverts to an older version of a key, and publishes an
 // immutable view after each change.
 package catalog
 
@@ -12,9 +12,9 @@
 	Key string
 	// Value is the content of the item; empty when the item is deleted.
 	Value []byte
-	// Revision is the store's revision at the last change of the item.
-	Revision uint64
-	// Deleted marks a tombstone: the key was deleted at Revision.
+	// Version is the store's version at the last change of the item.
+	Version Version
+	// Deleted marks a tombstone: the key was deleted at Version.
 	Deleted bool
 }
 
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -9,8 +9,8 @@
 // Listing is a server in a View.
 type Listing struct {
 	*mesh.Server
-	// Revision is the store's revision at the last change of the server's record.
-	Revision uint64
+	// Version is the store's version at the last change of the server's record.
+	Version Version
 	// ColdUntil is the end of the warm-up time that the server registered.
 	ColdUntil time.Time
 	// FirstSeen is the time at which this node first saw this incarnation.
@@ -20,18 +20,21 @@
 	Suspect bool
 	// Leaving reports that the server itself stated that it leaves.
 	Leaving bool
+	// Withheld reports that this incarnation was known to be draining, leaving or gone
+	// before the store was restored, and that its record may be older than that.
+	Withheld bool
 }
 
 // AcceptsRequests reports whether the server may receive new requests, as far as its state
 // is concerned.
 func (l *Listing) AcceptsRequests() bool {
-	return l.State == mesh.ServerReady && !l.Leaving
+	return l.State == mesh.ServerReady && !l.Leaving && !l.Withheld
 }
 
 // View is an immutable snapshot of the catalog.
 type View struct {
-	// Revision is the store revision of the snapshot.
-	Revision uint64
+	// Version is the store version of the snapshot.
+	Version Version
 	// Config is nil before the first configuration.
 	Config *mesh.Config
 	// Routes matches routes of Config; nil before the first.
@@ -66,5 +69,5 @@
 	if a.StartUnixMillis != b.StartUnixMillis {
 		return a.StartUnixMillis > b.StartUnixMillis
 	}
-	return a.Revision > b.Revision
+	return a.Version.IsNewerThan(b.Version)
 }
--- a/internal/contract/request.go
+++ b/internal/contract/request.go
@@ -56,7 +56,9 @@
 	// Hops is the number of nodes that the request has passed through.
 	Hops int
 	// ConfigVersion and HostListRevision are the versions that the sender uses.
+	// HostListEra is the era of the store to which the revision belongs; 0 if there is none.
 	ConfigVersion    config.Version
+	HostListEra      uint64
 	HostListRevision uint64
 	// FencedHosts lists the hosts that will never run the key.
 	FencedHosts []host.ID
--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -84,6 +84,7 @@
 		TraceParent:      traceParent,
 		Config:           EncodeVersion(r.ConfigVersion),
 		HostListRevision: r.HostListRevision,
+		HostListEra:      r.HostListEra,
 		ContentLength:    r.ContentLength,
 		Fingerprint:      r.Fingerprint,
 		Crashes:          uint32(r.Crashes),
@@ -118,6 +119,7 @@
 		Attempt:  int(head.GetAttempt()), Hops: int(head.GetHops()),
 		ConfigVersion:    DecodeVersion(head.GetConfig()),
 		HostListRevision: head.GetHostListRevision(),
+		HostListEra:      head.GetHostListEra(),
 		Fingerprint:      head.GetFingerprint(),
 		ContentLength:    head.GetContentLength(),
 		Crashes:          int(head.GetCrashes()),
@@ -156,7 +158,7 @@
 	refusal := &wire.Refusal{
 		Verdict: uint32(e.Verdict), Reason: uint32(e.Reason),
 		RetryAfterMicros: e.RetryAfter.Microseconds(), Fenced: e.Fenced,
-		HostListRevision: e.HostListRevision, Config: EncodeVersion(v),
+		HostListRevision: e.HostListRevision, HostListEra: e.HostListEra, Config: EncodeVersion(v),
 	}
 	if e.Cause != nil {
 		refusal.Detail = e.Cause.Error()
@@ -171,6 +173,7 @@
 		RetryAfter:       time.Duration(r.GetRetryAfterMicros()) * time.Microsecond,
 		Fenced:           r.GetFenced(),
 		HostListRevision: r.GetHostListRevision(),
+		HostListEra:      r.GetHostListEra(),
 	}
 	if e.Verdict > verdict.Ran {
 		e.Verdict = verdict.MayHaveRun
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -22,17 +22,25 @@
 // a watch.
 var ErrCompacted = eris.New("store compacted the events after the requested revision")
 
+// ErrOlderEra reports that a response is of an older era of the store than the catalog.
+var ErrOlderEra = eris.New("response is of an older era of the store")
+
+// errNewerEra reports that the response to a watch is of a newer era than the revision from
+// which it started.
+var errNewerEra = eris.New("store was restored")
+
 // Store is the data source of a Feed.
 type Store interface {
-	// List returns all items and the revision at which a watch has to start to miss no
-	// event.
-	List(ctx context.Context) ([]catalog.Item, uint64, error)
-	// Watch returns the events after a revision and the start revision of the next
-	// watch.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Item, uint64, error)
+	// List returns all items and the version at which a watch has to start to miss no
+	// event. With an error, the version holds the era of the response, 0 if there is none.
+	List(ctx context.Context) ([]catalog.Item, catalog.Version, error)
+	// Watch returns the events after a version and the start version of the next watch.
+	// If that is of another era, the events don't continue the version. With an error, the
+	// version holds the era of the response, 0 if there is none.
+	Watch(ctx context.Context, after catalog.Version, wait time.Duration) ([]catalog.Item, catalog.Version, error)
 }
 
-// PeerState is a peer's copy of the store, limited to changes after a revision.
+// PeerState is a peer's copy of the store, limited to changes after a version.
 type PeerState struct {
 	catalog.Changes
 	// Age is the time since the peer's copy was known to be current. It is an estimate
@@ -51,12 +59,12 @@
 	Eject(address string, until time.Time)
 	// ClearEjections makes all ejected nodes eligible again.
 	ClearEjections()
-	// Follow requests the changes after a revision from a node. The node responds as
-	// soon as it has a newer revision, or after the wait.
-	Follow(ctx context.Context, address string, revision uint64, wait time.Duration) (PeerState, error)
-	// Query requests the changes after a revision without a wait. Successive queries
+	// Follow requests the changes after a version from a node. The node responds as
+	// soon as it has a newer version, or after the wait.
+	Follow(ctx context.Context, address string, version catalog.Version, wait time.Duration) (PeerState, error)
+	// Query requests the changes after a version without a wait. Successive queries
 	// alternate between the usual upstream and a random node.
-	Query(ctx context.Context, revision uint64) (PeerState, error)
+	Query(ctx context.Context, version catalog.Version) (PeerState, error)
 }
 
 // probeWait is the wait of a watch after a failed call, and of a watch by which a
@@ -83,14 +91,16 @@
 	// noFreshCopy reports that a store call failed and that no recent copy was found
 	// since.
 	noFreshCopy atomic.Bool
-	// currentAsOf is the latest time at which the catalog was known to be current. It
-	// includes a monotonic clock reading, since the wall clock may jump.
-	currentAsOf atomic.Pointer[time.Time]
-	// provenAsOf is the latest reading of cfg.Clock for which it is proven that the
-	// catalog holds every change made before it; 0 if there is none.
-	provenAsOf atomic.Int64
-	// complete reports that the catalog holds all items of its revision, so that a
-	// watch or an upstream can continue from that revision.
+	// currentAsOf is the latest time at which the catalog was known to be current in its
+	// era.
+	currentAsOf atomic.Pointer[eraTime]
+	// proven is what is proven about the catalog's age; nil if nothing is.
+	proven atomic.Pointer[proof]
+	// newestEra is the newest era of the store that this node knows of. It is newer than
+	// the catalog's until the store was listed or a peer's copy was merged.
+	newestEra atomic.Uint64
+	// complete reports that the catalog holds all items of its version, so that a
+	// watch or an upstream can continue from that version.
 	complete atomic.Bool
 	// relist reports that the store must be listed before the next watch. Only Run
 	// accesses relist and the fields below.
@@ -104,10 +114,17 @@
 	listInsteadOfWatch bool
 }
 
+// eraTime is a time in an era of the store. It includes a monotonic clock reading, since
+// the wall clock may jump.
+type eraTime struct {
+	era uint64
+	at  time.Time
+}
+
 // New returns a feed.
 func New(cfg Config, store Store, peers Peers, c *catalog.Catalog, meter Meter, logger *log.Logger) *Feed {
 	f := &Feed{cfg: cfg.withDefaults(), store: store, peers: peers, catalog: c, meter: meter, logger: logger}
-	f.currentAsOf.Store(&time.Time{}) // an empty catalog has the maximum age
+	f.currentAsOf.Store(&eraTime{}) // an empty catalog has the maximum age
 	return f
 }
 
@@ -155,10 +172,17 @@
 		if changed && !follower {
 			f.sleep(ctx, f.batchDelay(uptime))
 		}
-	case errors.Is(err, ErrCompacted):
-		f.logger.Info().Str("part", "feed").Uint64("revision", f.catalog.Revision()).Msg("store history compacted; listing all items")
+	case errors.Is(err, ErrCompacted) || errors.Is(err, errNewerEra):
+		f.logger.Info().Str("part", "feed").Stringer("version", f.catalog.Version()).Uint64("era", f.newestEra.Load()).
+			AnErr("cause", err).Msg("store history gone; listing all items")
 		f.relist = true
 		f.upstreamFailures = f.cfg.UpstreamAttempts // list next instead of trying an upstream first
+	case errors.Is(err, ErrOlderEra):
+		// The store responds, so the node goes on without a grace period for its records.
+		// It asks peers meanwhile, in case the store keeps responding so.
+		f.storeFailing.Store(true)
+		f.sleep(ctx, f.retryDelay/2+rand.N(f.retryDelay/2+1))
+		f.retryDelay = min(2*f.retryDelay, f.cfg.RetryMax)
 	case ctx.Err() == nil:
 		f.storeFailed(err)
 		if follower {
@@ -199,15 +223,17 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := f.cfg.Clock()
-	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Revision(), wait)
-	if err != nil || state.Age > limit || state.Revision == 0 {
-		f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
-			Dur("age", state.Age).Uint64("revision", state.Revision).AnErr("cause", err).Msg("upstream not followed")
-		return false
+	state, err := f.peers.Follow(ctx, upstream.Address, f.catalog.Version(), wait)
+	if err == nil && state.Age <= limit && !state.Version.IsZero() {
+		err = f.applyPeerState(state, began)
+		if err == nil {
+			f.storeFailing.Store(false)
+			return true
+		}
 	}
-	f.storeFailing.Store(false)
-	f.applyPeerState(state, began)
-	return true
+	f.logger.Info().Str("part", "feed").Str("upstream", upstream.Address).Int("hops", upstream.Hops).
+		Dur("age", state.Age).Stringer("version", state.Version).AnErr("cause", err).Msg("upstream not followed")
+	return false
 }
 
 // maxAge returns the maximum age of a copy that is a number of hops from the store.
@@ -217,36 +243,57 @@
 
 // applyPeerState merges a peer's state whose age is within its limit. began is the
 // reading of the clock at which the request to the peer began.
-func (f *Feed) applyPeerState(state PeerState, began time.Duration) {
+func (f *Feed) applyPeerState(state PeerState, began time.Duration) error {
 	now := time.Now()
-	f.mergePeerState(state, began, now)
-	f.setCurrent(now.Add(-state.Age))
+	if err := f.mergePeerState(state, began, now); err != nil {
+		return err
+	}
+	f.setCurrent(state.Version.Era, now.Add(-state.Age))
 	f.storeRecovered(now)
+	return nil
 }
 
 // mergePeerState merges a peer's state of any age. What the peer proves counts from the
 // beginning of the request, since the time that the answer took to arrive is unknown.
-func (f *Feed) mergePeerState(state PeerState, began time.Duration, now time.Time) {
-	f.catalog.Merge(state.Changes, now)
+//
+// A state of an older era, or an incomplete one of a newer era, is discarded: neither its
+// items nor its age say anything about the present era. Only a node without a complete copy
+// takes the items of an older era, since it can't serve requests otherwise.
+func (f *Feed) mergePeerState(state PeerState, began time.Duration, now time.Time) error {
+	era, known := state.Version.Era, f.catalog.Version().Era
+	f.noteEra(era)
+	outdated := era < f.newestEra.Load()
+	if outdated && f.complete.Load() || !f.catalog.Merge(state.Changes, now) {
+		f.meter.StoreCalled("peer", resultOlderEra)
+		return f.olderEra("peer", state.Version)
+	}
 	if state.Complete {
 		f.complete.Store(true)
 	}
+	if outdated {
+		return f.olderEra("peer", state.Version)
+	}
+	if era > known {
+		f.setCurrent(era, now.Add(-state.Age)) // what was known of an older era doesn't count
+	}
 	if state.Proof != nil {
-		f.setProven(began + state.Proof.Held - state.Proof.Age)
+		f.setProven(era, began+state.Proof.Held-state.Proof.Age)
 	}
+	return nil
 }
 
 // Age returns the time since the catalog was known to be current.
 func (f *Feed) Age(now time.Time) time.Duration {
-	return now.Sub(*f.currentAsOf.Load())
+	return now.Sub(f.currentAsOf.Load().at)
 }
 
-// setCurrent records that the catalog was current at a time, unless a later time is
-// already recorded.
-func (f *Feed) setCurrent(at time.Time) {
+// setCurrent records that the catalog was current at a time in an era, unless a later time
+// is already recorded.
+func (f *Feed) setCurrent(era uint64, at time.Time) {
+	current := &eraTime{era: era, at: at}
 	for {
 		known := f.currentAsOf.Load()
-		if at.Before(*known) || f.currentAsOf.CompareAndSwap(known, &at) {
+		if era < known.era || era == known.era && at.Before(known.at) || f.currentAsOf.CompareAndSwap(known, current) {
 			return
 		}
 	}
@@ -257,39 +304,63 @@
 	if !f.complete.Load() || f.relist || f.listInsteadOfWatch {
 		return f.list(ctx)
 	}
-	began, known := f.cfg.Clock(), f.catalog.Revision()
-	events, revision, err := f.store.Watch(ctx, known, wait)
-	f.countCall("watch", err)
-	if err != nil {
-		return false, err
+	began, known := f.cfg.Clock(), f.catalog.Version()
+	events, version, err := f.store.Watch(ctx, known, wait)
+	answeredAt := time.Now()
+	if err = f.checkEra("watch", version, err); err == nil && version.Era > known.Era {
+		err = eris.Wrapf(errNewerEra, "era %d", version.Era)
 	}
 	if len(events) == 0 {
 		// The watch covers all keys, so a newer revision without an event means that the
 		// watch missed one. The next watch starts where this one did.
-		revision = known
+		version = known
 	}
-	answeredAt := time.Now()
-	f.catalog.Apply(events, revision, answeredAt)
-	f.storeResponded(began, answeredAt)
+	if err == nil && !f.catalog.Apply(events, version, answeredAt) {
+		err = f.olderEra("watch", version)
+	}
+	f.countCall("watch", err)
+	if err != nil {
+		return false, err
+	}
+	f.storeResponded(version.Era, began, answeredAt)
 	f.listInsteadOfWatch = valueBytes(events) > f.cfg.MaxWatchBytes
 	return len(events) > 0, nil
 }
 
+// checkEra returns an error unless a response is of the newest known era. err is the error
+// of the call, which may state a newer era, too.
+func (f *Feed) checkEra(call string, version catalog.Version, err error) error {
+	f.noteEra(version.Era)
+	if err == nil && version.Era < f.newestEra.Load() {
+		return f.olderEra(call, version)
+	}
+	return err
+}
+
+// olderEra records that something of an older era than the newest known one is discarded.
+func (f *Feed) olderEra(source string, version catalog.Version) error {
+	f.logger.Warn().Str("part", "feed").Str("source", source).Stringer("version", version).
+		Stringer("known", f.catalog.Version()).Uint64("era", f.newestEra.Load()).Msg("discarded data of an older era of the store")
+	return eris.Wrapf(ErrOlderEra, "%s of version %v", source, version)
+}
+
 // list reads all items. After large events it reports whether the store's revision
 // advanced; if so, the next call lists again.
 func (f *Feed) list(ctx context.Context) (changed bool, err error) {
 	began := f.cfg.Clock()
-	items, revision, err := f.store.List(ctx)
+	items, version, err := f.store.List(ctx)
+	known, answeredAt := f.catalog.Version(), time.Now()
+	if err = f.checkEra("list", version, err); err == nil && !f.catalog.Replace(items, version, answeredAt) {
+		err = f.olderEra("list", version)
+	}
 	f.countCall("list", err)
 	if err != nil {
 		return false, err
 	}
-	known, answeredAt := f.catalog.Revision(), time.Now()
-	f.catalog.Replace(items, revision, answeredAt)
 	f.complete.Store(true)
-	f.storeResponded(began, answeredAt)
+	f.storeResponded(version.Era, began, answeredAt)
 	f.relist = false
-	f.listInsteadOfWatch = f.listInsteadOfWatch && revision > known
+	f.listInsteadOfWatch = f.listInsteadOfWatch && version.IsNewerThan(known)
 	return f.listInsteadOfWatch, nil
 }
 
@@ -301,11 +372,18 @@
 	return n
 }
 
+// resultOlderEra is the result of a call whose response is of an older era.
+const resultOlderEra = "older_era"
+
 func (f *Feed) countCall(call string, err error) {
 	result := "ok"
 	switch {
 	case errors.Is(err, ErrCompacted):
 		result = "history_gone"
+	case errors.Is(err, errNewerEra):
+		result = "newer_era"
+	case errors.Is(err, ErrOlderEra):
+		result = resultOlderEra
 	case err != nil:
 		result = "failed"
 	}
@@ -316,10 +394,10 @@
 // that asks in between must not see the new age with the old revision. began is the
 // reading of the clock at which the call began; the answer reflects all changes before
 // it. answeredAt is the time of the answer; applying it may have taken seconds.
-func (f *Feed) storeResponded(began time.Duration, answeredAt time.Time) {
+func (f *Feed) storeResponded(era uint64, began time.Duration, answeredAt time.Time) {
 	f.storeFailing.Store(false)
-	f.setProven(began)
-	f.setCurrent(answeredAt)
+	f.setProven(era, began)
+	f.setCurrent(era, answeredAt)
 	f.storeRecovered(time.Now())
 }
 
@@ -346,22 +424,23 @@
 func (f *Feed) queryPeer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.PeerTimeout)
 	defer cancel()
-	began, known := f.cfg.Clock(), f.catalog.Revision()
+	began, known := f.cfg.Clock(), f.catalog.Version()
 	state, err := f.peers.Query(ctx, known)
 	if err != nil {
 		f.logger.Debug().Str("part", "feed").Err(err).Msg("peer query failed")
 		return
 	}
-	if state.Revision > 0 && state.Age <= f.cfg.MaxAge {
-		// The store responds to other nodes, so a deleted record is a real deletion.
-		f.applyPeerState(state, began)
+	switch {
+	case state.Version.IsZero():
 		return
+	case state.Age <= f.cfg.MaxAge:
+		// The store responds to other nodes, so a deleted record is a real deletion.
+		err = f.applyPeerState(state, began)
+	default:
+		err = f.mergePeerState(state, began, time.Now())
 	}
-	if state.Revision > 0 {
-		f.mergePeerState(state, began, time.Now())
-	}
-	if state.Revision > known {
-		f.logger.Info().Str("part", "feed").Uint64("revision", state.Revision).Int("items", len(state.Items)).
+	if err == nil && state.Age > f.cfg.MaxAge && state.Version.IsNewerThan(known) {
+		f.logger.Info().Str("part", "feed").Stringer("version", state.Version).Int("items", len(state.Items)).
 			Msg("state taken from a peer")
 	}
 }
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -40,6 +40,11 @@
 
 var pastDeadline = time.Unix(1, 0)
 
+// PeerAddress returns the peer's address of the link that carries the stream.
+func (s *Stream) PeerAddress() string {
+	return s.conn.RemoteAddr().String()
+}
+
 // Abort unblocks reads and writes by expiring their deadlines.
 func (s *Stream) Abort() {
 	_ = s.conn.SetDeadline(pastDeadline)
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -289,7 +289,7 @@
 	x.entry.Logger.Info().Str("part", "entry").Str("request", x.request.ID).Str("route", x.request.Route).
 		Str("service", x.request.Service).Str("workspace", x.workspaceName()).Int("status", status).Str("verdict", e.Verdict.String()).
 		Str("reason", e.Reason.String()).AnErr("cause", e.Cause).Dur("retry_after", e.RetryAfter).
-		Dur("took", time.Since(x.started)).Uint64("config", version).Uint64("revision", view.Revision).
+		Dur("took", time.Since(x.started)).Uint64("config", version).Uint64("revision", view.Version.Revision).Uint64("era", view.Version.Era).
 		Msg(decisions.MessageRefused)
 	x.c.Status(status)
 	x.c.Writer.WriteHeaderNow()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -167,7 +167,10 @@
 		return 0
 	})
 	m.Gauge("store_revision", "Newest revision of the store that was applied.", func() float64 {
-		return float64(c.View().Revision)
+		return float64(c.View().Version.Revision)
+	})
+	m.Gauge("store_era", "Era of the store that was applied: how often the store was restored from an older copy.", func() float64 {
+		return float64(c.View().Version.Era)
 	})
 	return m
 }
@@ -308,7 +311,7 @@
 	}
 	return &streamServer{
 		requests: exchange.NewServer(hop, version, logger), serving: &state.peerRequests, bootMillis: self.BootMillis,
-		hop: hop, crashes: p, catalog: c, feed: f, quotas: quotas, encoder: newStateEncoder(), logger: logger,
+		hop: hop, crashes: p, catalog: c, feed: f, quotas: quotas, encoder: newStateEncoder(), olderEras: newOlderEraPeers(), logger: logger,
 	}
 }
 
--- a/internal/sidecar/packing.go
+++ b/internal/sidecar/packing.go
@@ -34,9 +34,9 @@
 type stateEncoder struct {
 	mu              sync.Mutex
 	compressedByKey map[string]*wire.StateItem
-	// state is the compressed full state at stateRevision.
-	state         []byte
-	stateRevision uint64
+	// state is the compressed full state at stateVersion.
+	state        []byte
+	stateVersion catalog.Version
 }
 
 func newStateEncoder() *stateEncoder {
@@ -50,7 +50,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.compressedByKey[item.Key]; known != nil && known.GetRevision() == item.Revision {
+	if known := p.compressedByKey[item.Key]; known != nil && versionOf(known) == item.Version {
 		return known, nil
 	}
 	value, err := compress(item.Value)
@@ -62,12 +62,12 @@
 	return message, nil
 }
 
-// encodeState compresses all items of a revision together: starting nodes request them
+// encodeState compresses all items of a version together: starting nodes request them
 // at the same time, and the records of servers are very similar.
-func (p *stateEncoder) encodeState(items []catalog.Item, revision uint64) ([]byte, error) {
+func (p *stateEncoder) encodeState(items []catalog.Item, version catalog.Version) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state != nil && p.stateRevision == revision {
+	if p.state != nil && p.stateVersion == version {
 		return p.state, nil
 	}
 	all := &wire.StateItems{Items: make([]*wire.StateItem, 0, len(items))}
@@ -82,12 +82,24 @@
 	if err != nil {
 		return nil, err
 	}
-	p.state, p.stateRevision = compressed, revision
+	p.state, p.stateVersion = compressed, version
 	return compressed, nil
 }
 
 func uncompressedMessage(item catalog.Item) *wire.StateItem {
-	return &wire.StateItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted}
+	return &wire.StateItem{
+		Key: item.Key, Value: item.Value, Era: item.Version.Era, Revision: item.Version.Revision, Deleted: item.Deleted,
+	}
+}
+
+// versioned is a message with a version of the store.
+type versioned interface {
+	GetEra() uint64
+	GetRevision() uint64
+}
+
+func versionOf(message versioned) catalog.Version {
+	return catalog.Version{Era: message.GetEra(), Revision: message.GetRevision()}
 }
 
 func compress(value []byte) ([]byte, error) {
@@ -123,7 +135,7 @@
 
 func decodeItem(message *wire.StateItem) (catalog.Item, error) {
 	item := catalog.Item{
-		Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(),
+		Key: message.GetKey(), Value: message.GetValue(), Version: versionOf(message), Deleted: message.GetDeleted(),
 	}
 	if !message.GetPacked() {
 		return item, nil
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -71,9 +71,9 @@
 	n.SetMembers(members)
 }
 
-// Follow requests the changes of a node's copy of the store after a revision.
-func (n *peerDirectory) Follow(ctx context.Context, address string, revision uint64, wait time.Duration) (feed.PeerState, error) {
-	query := &wire.StateQuery{Revision: revision, WaitMillis: uint32(wait.Milliseconds())}
+// Follow requests the changes of a node's copy of the store after a version.
+func (n *peerDirectory) Follow(ctx context.Context, address string, version catalog.Version, wait time.Duration) (feed.PeerState, error) {
+	query := &wire.StateQuery{Era: version.Era, Revision: version.Revision, WaitMillis: uint32(wait.Milliseconds())}
 	answer, err := n.control.State(ctx, address, query)
 	if err != nil {
 		return feed.PeerState{}, err
@@ -84,7 +84,7 @@
 	}
 	state := feed.PeerState{
 		Changes: catalog.Changes{
-			Items: items, Complete: answer.GetComplete(), Gapless: answer.GetGapless(), Revision: answer.GetRevision(),
+			Items: items, Complete: answer.GetComplete(), Gapless: answer.GetGapless(), Version: versionOf(answer),
 		},
 		Age: time.Duration(answer.GetAgeMillis()) * time.Millisecond,
 	}
@@ -98,12 +98,12 @@
 }
 
 // Query requests the copy of the store that one other node holds.
-func (n *peerDirectory) Query(ctx context.Context, revision uint64) (feed.PeerState, error) {
+func (n *peerDirectory) Query(ctx context.Context, version catalog.Version) (feed.PeerState, error) {
 	address, ok := n.QueryTarget()
 	if !ok {
 		return feed.PeerState{}, errNoPeer
 	}
-	return n.Follow(ctx, address, revision, 0)
+	return n.Follow(ctx, address, version, 0)
 }
 
 // streamServer serves the streams that other nodes open on this node's links.
@@ -119,7 +119,9 @@
 	feed       *feed.Feed
 	quotas     *quotaLedger
 	encoder    *stateEncoder
-	logger     *log.Logger
+	// olderEras are the peers that ask from an older era of the store.
+	olderEras *olderEraPeers
+	logger    *log.Logger
 }
 
 // ServeStream serves one stream. It leaves an opening of an unknown kind, which a newer
@@ -131,7 +133,7 @@
 		defer s.serving.Add(-1)
 		s.requests.Serve(ctx, opening.GetRequest(), stream)
 	case opening.GetStateQuery() != nil:
-		s.reply(stream, s.stateAnswer(ctx, opening.GetStateQuery()))
+		s.reply(stream, s.stateAnswer(ctx, opening.GetStateQuery(), stream.PeerAddress()))
 	case opening.GetBar() != nil:
 		s.reply(stream, &wire.BarAnswer{HandedOver: s.hop.Fence(opening.GetBar().GetId()), BootMillis: s.bootMillis})
 	case opening.GetCreditRequest() != nil:
@@ -143,28 +145,34 @@
 	}
 }
 
-// stateAnswer answers as soon as a revision newer than the query's is known, or when
-// the query's wait time has passed.
-func (s *streamServer) stateAnswer(ctx context.Context, query *wire.StateQuery) *wire.StateAnswer {
+// stateAnswer answers as soon as a version newer than the query's is known, or when
+// the query's wait time has passed. peer is the address of the asking node's link.
+func (s *streamServer) stateAnswer(ctx context.Context, query *wire.StateQuery, peer string) *wire.StateAnswer {
 	arrivedAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(query.GetWaitMillis())*time.Millisecond)
 	defer cancel()
-	s.catalog.Await(ctx, query.GetRevision())
+	asked := s.olderEras.adjust(peer, versionOf(query), s.catalog.Version())
+	s.catalog.Await(ctx, asked)
 	// The ages are read before the items, which may therefore only be newer.
+	before := s.catalog.Version()
 	answer := &wire.StateAnswer{
 		AgeMillis:  millisRoundedUp(s.feed.Age(time.Now())),
 		HeldMillis: uint32((bootclock.Now() - arrivedAt).Milliseconds()),
 	}
-	if age, ok := s.feed.ProvenAge(); ok {
-		answer.ProvenAgeMillis = proto.Uint32(millisRoundedUp(age))
+	age, proven := s.feed.ProvenAge()
+	changes := catalog.Changes{Version: s.catalog.Version()}
+	if changes.Version.IsNewerThan(asked) {
+		changes = s.catalog.ChangesSince(asked)
+	} else if asked.Era > query.GetEra() && asked.Revision > changes.Version.Revision {
+		// A copy of the same store at a greater revision is of an older era.
+		return &wire.StateAnswer{AgeMillis: answer.GetAgeMillis()}
 	}
-	if known := s.catalog.Revision(); known <= query.GetRevision() {
-		answer.Revision = known
-		return answer
+	if proven && changes.Version.Era == before.Era {
+		answer.ProvenAgeMillis = proto.Uint32(millisRoundedUp(age))
 	}
-	changes := s.catalog.ChangesSince(query.GetRevision())
-	answer.Revision, answer.Complete, answer.Gapless = changes.Revision, changes.Complete, changes.Gapless
-	if err := s.fillItems(answer, changes.Items); err != nil {
+	answer.Era, answer.Revision = changes.Version.Era, changes.Version.Revision
+	answer.Complete, answer.Gapless = changes.Complete, changes.Gapless
+	if err := s.fillItems(answer, changes); err != nil {
 		// Without the items the answer would be wrong, so the answer reports no change.
 		s.logger.Error().Str("part", "feed").Err(err).Msg("failed to encode the state for a peer")
 		return &wire.StateAnswer{AgeMillis: answer.GetAgeMillis()}
@@ -177,14 +185,14 @@
 	return uint32(min((d + time.Millisecond - 1).Milliseconds(), math.MaxUint32))
 }
 
-// fillItems adds items to an answer.
-func (s *streamServer) fillItems(answer *wire.StateAnswer, items []catalog.Item) error {
+// fillItems adds the items of changes to an answer.
+func (s *streamServer) fillItems(answer *wire.StateAnswer, changes catalog.Changes) error {
 	var err error
-	if answer.GetComplete() {
-		answer.PackedItems, err = s.encoder.encodeState(items, answer.GetRevision())
+	if changes.Complete {
+		answer.PackedItems, err = s.encoder.encodeState(changes.Items, changes.Version)
 		return err
 	}
-	for _, item := range items {
+	for _, item := range changes.Items {
 		message, err := s.encoder.encodeItem(item)
 		if err != nil {
 			return err
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -167,7 +167,7 @@
 	outgoing.Body = &attemptReader{Reader: reader}
 	outgoing.Deadline = t.dispatcher.drain.limit(t.request.Deadline)
 	outgoing.Server = string(listing.ID)
-	outgoing.HostListRevision = listing.Revision
+	outgoing.HostListEra, outgoing.HostListRevision = listing.Version.Era, listing.Version.Revision
 	outgoing.RateLimit = t.dispatcher.balancer.RateLimit(listing.ID)
 	outgoing.Attempt = t.attempts + t.serverRefusals
 	t.running++
--- a/internal/verdict/error.go
+++ b/internal/verdict/error.go
@@ -74,6 +74,9 @@
 	// HostListRevision is the revision of the host list on the host that refused the
 	// request; 0 means unspecified.
 	HostListRevision uint64
+	// HostListEra is the era of the store to which HostListRevision belongs; 0 if there is
+	// none.
+	HostListEra uint64
 	// Cause is the underlying error, or nil.
 	Cause error
 }
