--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -39,6 +39,10 @@
 	service string
 	server  *server
 	node    *exec.Cmd
+	// links is the address at which the node listens for links.
+	links string
+	// proxy stands before that address; nil if the node listens there itself.
+	proxy *proxy
 	// ended is closed when the node process has ended.
 	ended chan struct{}
 	// ends counts the ends that this program did not cause.
@@ -54,6 +58,8 @@
 	record   *record
 	machines []*machine
 	version  int
+	// proxied reports that a proxy stands before each node's links.
+	proxied bool
 }
 
 // record is the file in which a case writes what was sent, answered and run.
@@ -74,14 +80,14 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// startFleet starts the store, and a server and a node for each service named. The caller
-// must call end.
-func startFleet(r *record, services []string, config func(version int) map[string]any) (*fleet, error) {
+// startFleet starts the store, and a server and a node for each service named, with proxies
+// before their links if proxied is set. The caller must call end.
+func startFleet(r *record, services []string, proxied bool, config func(version int) map[string]any) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, store: standin.NewMetaStore(), record: r}
+	f := &fleet{dir: dir, store: standin.NewMetaStore(), record: r, proxied: proxied}
 	if f.ports, err = freePorts(); err != nil {
 		return f, err
 	}
@@ -97,6 +103,9 @@
 		if m.server, err = startServer(r, m.address(f.ports.server), service); err != nil {
 			return f, err
 		}
+		if err := m.placeLinks(i); err != nil {
+			return f, err
+		}
 		f.register(m)
 		f.machines = append(f.machines, m)
 	}
@@ -108,6 +117,17 @@
 	return f, f.awaitReady()
 }
 
+// placeLinks chooses where the node listens for links.
+func (m *machine) placeLinks(i int) (err error) {
+	m.links = m.address(m.fleet.ports.links)
+	if m.fleet.proxied {
+		seen := m.links
+		m.links = fmt.Sprintf("127.0.78.%d:%d", i+1, m.fleet.ports.links)
+		m.proxy, err = startProxy(seen, m.links)
+	}
+	return err
+}
+
 func freePorts() (portSet, error) {
 	var ports [5]int
 	for i := range ports {
@@ -128,7 +148,7 @@
 }
 
 func (f *fleet) register(m *machine) {
-	f.store.Put("servers/"+m.server.id, map[string]any{
+	f.store.Put("servers/"+m.server.id(), map[string]any{
 		"address": m.address(f.ports.server), "born": time.Now().UnixMilli(),
 		"info":   map[string]any{"service": m.service, "zone": m.zone, "version": "v1", "slots": serverSlots},
 		"status": map[string]any{"state": "ready", "seq": 1, "cold_remaining": "0ms"},
@@ -169,7 +189,7 @@
 	f, p := m.fleet, m.fleet.ports
 	data, err := json.Marshal(map[string]any{
 		"host": "sidecar-" + m.ip, "data-centre": m.zone, "region": "r", "service": m.service,
-		"backend": m.address(p.server), "link-listen": m.address(p.links), "callers-listen": m.address(p.callers),
+		"backend": m.address(p.server), "link-listen": m.links, "callers-listen": m.address(p.callers),
 		"ready-listen": m.address(p.ready), "admin-listen": m.address(p.admin), "store": f.storeAt,
 		"peer":        []string{fmt.Sprintf("127.0.77.1:%d", p.links)},
 		"drain-limit": grace.String(), "retry-ratio": 0.2, "retry-slack": 60, "cold-overshoot": 1.5, "cold-slack": 5,
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -19,8 +19,8 @@
 	"header":   headerCase,
 	"path":     pathCase,
 	"attempts": attemptsCase,
-	"weights":  weightsCase,
-	"options":  optionsCase,
+	"silent":   silentCase,
+	"poison":   poisonCase,
 }
 
 func main() {
