Size nothing by max_attempts: a large value ended each node (Fault)

With max_attempts on a route each node that got a request on it ended, out of memory, and again at the next request.

Cause: Dispatcher.Do made a channel with room for the result of each permitted attempt, for each request.

Fix: the channel has no buffer. Each result is received, by run or, after it, by cancelExcept, so no attempt waits for ever and nothing needs a size.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -89,7 +89,7 @@
 	d.countRequest(r.Service, parent)
 	t := &task{
 		dispatcher: d, request: r, route: route, body: body,
-		results: make(chan result, maxCallReroutes+route.MaxAttempts+2),
+		results: make(chan result),
 		cancels: map[mesh.ServerID]context.CancelFunc{},
 	}
 	if parent != nil {
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -55,7 +55,9 @@
 	request    *contract.Request
 	route      *mesh.Route
 	body       Body
-	results    chan result
+	// results has no buffer, so that no number of attempts sizes it: run, or cancelExcept
+	// after it, receives the result of each attempt.
+	results chan result
 	// cancels cancels each attempt, by the server that it was sent to.
 	cancels map[mesh.ServerID]context.CancelFunc
 	running int
