--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -49,8 +49,8 @@
 	Timeout time.Duration
 	// Objective is the target latency of a request.
 	Objective time.Duration
-	// Priority orders requests that wait for a fully loaded server; 0 is the highest
-	// priority.
+	// Priority orders requests that wait for a fully loaded server, from 0, the highest
+	// priority, to MaxPriority.
 	Priority int
 	// Destinations has one element unless traffic is split between services.
 	Destinations []Destination
--- a/internal/mesh/workspace.go
+++ b/internal/mesh/workspace.go
@@ -103,8 +103,13 @@
 	return t.byName[name]
 }
 
-// maxRoutePriority is the lowest priority of a route that Rank distinguishes.
-const maxRoutePriority = 255
+const (
+	// MaxPriority is the lowest priority of a route or workspace. Ranks, which are sent as 32
+	// bits, keep their order up to it.
+	MaxPriority = 1 << 20
+	// maxRoutePriority is the lowest priority of a route that Rank distinguishes.
+	maxRoutePriority = 255
+)
 
 // Rank returns the order in which requests of a route and a workspace are served; 0 goes
 // first. The workspace's priority precedes the route's. Requests without a workspace rank
