--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -51,6 +51,8 @@
 	Server mesh.ServerID
 	// ColdFor is the remaining warm-up time of the server; 0 when it is warm.
 	ColdFor time.Duration
+	// ColdForCut reports that the server stated a longer time than any server is cold.
+	ColdForCut bool
 	// IdleTimeout is how long the server keeps an idle connection open; 0 when
 	// unspecified.
 	IdleTimeout time.Duration
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -73,6 +73,9 @@
 	loggedConcurrency atomic.Int64
 	// handedOver counts the requests that were sent to the server.
 	handedOver atomic.Uint64
+	// coldTimesCut counts the health checks in which the server stated a cold time out of
+	// bounds.
+	coldTimesCut atomic.Uint64
 
 	mu sync.Mutex
 	// limit is the request limit that the server states.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -381,6 +381,9 @@
 	})
 	registerSpeedMetrics(m, hop)
 	m.Counter("server_requests_total", "Requests sent to the server beside this node.", func() float64 { return float64(hop.handedOver.Load()) })
+	m.Counter("server_cold_times_cut_total", "Health checks in which the server beside this node stated a cold time out of bounds.", func() float64 {
+		return float64(hop.coldTimesCut.Load())
+	})
 	m.Gauge("config_age_seconds", "Time since the configuration was known to be current.", func() float64 { return f.Age(time.Now()).Seconds() })
 	m.Gauge("config_proven_age_seconds", "Upper bound on the age of the configuration; -1 while nothing is proven.", func() float64 {
 		if age, ok := f.ProvenAge(); ok {
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -123,6 +123,10 @@
 		return protocol.ServerResponse{}, err
 	}
 	_ = answer.Body.Close() // only the headers matter
+	if answer.ServerResponse.ColdForCut {
+		p.hop.coldTimesCut.Add(1)
+		p.hop.logger.Warn().Str("part", "gate").Dur("used", answer.ServerResponse.ColdFor).Msg("server states a cold time out of bounds")
+	}
 	return answer.ServerResponse, nil
 }
 
