Learn sizes of answers from what was read: a stated length closed a route

Found by reading.

Cause: the gate's estimate of a route's answers, by which it reserves capacity of its link before a run, counted the length that the server states. No run changed it afterwards. The answer under way reserved its stated length as well.

Fix: a size counts once the answer has been read, and answers to HEAD have none; an answer under way reserves at most what the link sends until its deadline.

--- a/internal/linkbudget/link.go
+++ b/internal/linkbudget/link.go
@@ -187,12 +187,15 @@
 	if !l.schedule.Sending() {
 		l.meter.deliveries.recordIdle(now.Sub(later(l.schedule.freeAt, l.endedAt)))
 	}
+	bytes := l.schedule.SentUntil(stated.Bytes, stated.Deadline, now)
 	if r == nil {
+		stated := stated
+		stated.Bytes = bytes
 		r = l.schedule.Force(stated)
 	}
-	if stated.Bytes >= 0 {
-		l.recordMean(float64(stated.Bytes))
-		l.schedule.Adjust(r, stated.Bytes, now)
+	if bytes >= 0 {
+		l.recordMean(float64(bytes))
+		l.schedule.Adjust(r, bytes, now)
 	} else {
 		l.schedule.Adjust(r, r.remaining, now)
 	}
--- a/internal/linkbudget/schedule.go
+++ b/internal/linkbudget/schedule.go
@@ -132,6 +132,15 @@
 	return added
 }
 
+// SentUntil returns how much of a response of n bytes the link can send until a deadline,
+// at which the response is cut.
+func (s *Schedule) SentUntil(n int64, deadline, now time.Time) int64 {
+	if most := s.rate * max(deadline.Sub(now), 0).Seconds(); most < float64(n) {
+		return int64(most)
+	}
+	return n
+}
+
 // Adjust corrects the size once the server has responded.
 func (s *Schedule) Adjust(r *Reservation, bytes int64, now time.Time) {
 	r.remaining, r.started, r.activeAt = bytes, true, now
--- a/internal/sidecar/answerbudget.go
+++ b/internal/sidecar/answerbudget.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"boragefall/internal/contract"
 	"boragefall/internal/linkbudget"
+	"boragefall/internal/serverconn"
 	"boragefall/internal/telemetry"
 	"boragefall/internal/verdict"
 )
@@ -104,12 +107,51 @@
 	}
 }
 
-// observe records the size of a route's answer, if known, and how long its run took.
-func (b *answerBudget) observe(route string, bytes int64, took time.Duration) {
-	if bytes >= 0 {
-		b.sizes.Observe(route, bytes)
+// observe records how long a run took, and the size of its answer once it has been read. The
+// length that a server states is no size: of a faulty server it may be any number.
+func (b *answerBudget) observe(r *contract.Request, a *serverconn.Answer, took time.Duration) {
+	b.spreads.Observe(r.Route, took)
+	switch {
+	case r.Method == http.MethodHead || a.ContentLength < 0:
+	case a.Buffered:
+		b.sizes.Observe(r.Route, a.ContentLength)
+	default:
+		a.Body = &measuredBody{ReadCloser: a.Body, route: r.Route, sizes: b.sizes}
 	}
-	b.spreads.Observe(route, took)
+}
+
+// measuredBody records the size of an answer that is read from its server.
+type measuredBody struct {
+	io.ReadCloser
+	route string
+	sizes *linkbudget.Sizes
+	read  int64
+	ended bool
+}
+
+// Read records the size at the end of the answer.
+func (b *measuredBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if err != nil {
+		b.end(errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close ends an answer that was not read to its end.
+func (b *measuredBody) Close() error {
+	b.end(false)
+	return b.ReadCloser.Close()
+}
+
+// end records the size once. An answer that is not whole is at least as large as what was
+// read.
+func (b *measuredBody) end(whole bool) {
+	if !b.ended && (whole || b.read > b.sizes.Estimate(b.route)) {
+		b.sizes.Observe(b.route, b.read)
+	}
+	b.ended = true
 }
 
 // release frees the capacity unless the answer is being sent.
--- a/internal/sidecar/lasthop.go
+++ b/internal/sidecar/lasthop.go
@@ -420,7 +420,7 @@
 		a.Body = &permitBody{ReadCloser: a.Body, permit: permit, failed: failed}
 	}
 	if !failed {
-		h.answers.observe(r.Route, a.ContentLength, took)
+		h.answers.observe(r, a, took)
 	}
 	a.Body = reservation.send(ctx, r, &a.Answer)
 	a.Load = h.Load()
