Compare a body's length with the budget before adding it: the sum overflowed

What callers saw: nothing yet; found by reading. A peer that announces a body of 2^63-1 bytes while the gate receives another one ended the gate's process.

Cause: the sum of the length and the bytes buffered overflowed, fitted into the budget, and sized an allocation.

Fix: a length beyond the budget is rejected before the sum; the body is streamed.

TestBodyOfAnyStatedLengthKeepsToTheBudget failed before (makeslice: len out of range) and passes.

--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -58,15 +58,24 @@
 	return time.Duration(float64(n) / float64(b.rate) * float64(time.Second))
 }
 
+// reserve reserves memory for a body of n bytes if the budget permits it.
+func (b *bodyReceiver) reserve(n int64) bool {
+	if n > b.budget {
+		return false // also keeps the sum below from overflowing
+	}
+	if b.buffered.Add(n) > b.budget {
+		b.buffered.Add(-n)
+		return false
+	}
+	return true
+}
+
 // receive waits for the request's turn and reads its body into memory. A body that is
 // already buffered, has no known length or exceeds the budget is left alone; it is then
 // read while the server runs the request. release frees the memory.
 func (b *bodyReceiver) receive(ctx context.Context, r *contract.Request) (release func(), err error) {
 	noRelease := func() {}
-	if r.BodyBuffered || r.ContentLength <= 0 || b.buffered.Add(r.ContentLength) > b.budget {
-		if !r.BodyBuffered && r.ContentLength > 0 {
-			b.buffered.Add(-r.ContentLength)
-		}
+	if r.BodyBuffered || r.ContentLength <= 0 || !b.reserve(r.ContentLength) {
 		return noRelease, nil
 	}
 	release = func() { b.buffered.Add(-r.ContentLength) }
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -123,3 +125,28 @@
 		g.Expect(receiver.queue.waiting).To(BeEmpty())
 	})
 }
+
+// Guards against a stated length whose sum with other bodies overflows: it was taken to fit
+// into the budget, and its allocation ended the process.
+func TestBodyOfAnyStatedLengthKeepsToTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	receiver := newBodyReceiver(narrowMbps, 128)
+	ended := make(chan struct{})
+	unread, finish := io.Pipe()
+	go func() {
+		defer close(ended)
+		_, _ = receiver.receive(t.Context(), uploadRequest(unread)) // it is only held in progress
+	}()
+	g.Eventually(receiver.buffered.Load).Should(BeEquivalentTo(uploadBytes))
+	for _, length := range []int64{math.MaxInt64, math.MaxInt64 - uploadBytes + 1, 1 << 62, receiver.budget + 1} {
+		r := uploadRequest(http.NoBody)
+		r.ContentLength = length
+		release, err := receiver.receive(t.Context(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.BodyBuffered).To(BeFalse(), "it is streamed")
+		release()
+		g.Expect(receiver.buffered.Load()).To(BeEquivalentTo(uploadBytes))
+	}
+	g.Expect(finish.Close()).To(Succeed())
+	<-ended
+}
