Bound times in messages between nodes: long ones wrapped

What callers saw: nothing yet; found by reading. A refusal with a Retry-After of 2^62 microseconds said 0, and a time limit of that length had passed on arrival.

Cause: microseconds were multiplied to nanoseconds without a bound.

Fix: they become the nearest duration in range.

Three specs of internal/exchange/invalid_test.go failed before and pass.

--- a/internal/exchange/encode.go
+++ b/internal/exchange/encode.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -116,7 +117,7 @@
 		Route: head.GetRoute(), Service: head.GetService(), Idempotent: head.GetIdempotent(),
 		Priority: decodePriority(head.GetPriority()), Key: head.GetKey(),
 		KeyMinted: head.GetKeyMinted(), BodyDigest: head.GetBodyDigest(),
-		Deadline: now.Add(time.Duration(head.GetBudgetMicros()) * time.Microsecond),
+		Deadline: now.Add(microseconds(head.GetBudgetMicros())),
 		Attempt:  int(head.GetAttempt()), Hops: int(head.GetHops()),
 		ConfigVersion:    DecodeVersion(head.GetConfig()),
 		HostListRevision: head.GetHostListRevision(),
@@ -134,7 +135,7 @@
 		Nested:           head.GetNested(),
 	}
 	if micros := head.GetObjectiveMicros(); micros != 0 {
-		r.Objective = now.Add(time.Duration(micros) * time.Microsecond)
+		r.Objective = now.Add(microseconds(micros))
 	}
 	r.Trailer = extractTrailerNames(r.Header)
 	if ms := head.GetKeyMillis(); ms != 0 {
@@ -156,6 +157,12 @@
 	return config.Version{Epoch: v.GetEpoch(), Revision: v.GetRevision()}
 }
 
+// microseconds returns a duration of n microseconds, or the nearest one in range.
+func microseconds(n int64) time.Duration {
+	const most = math.MaxInt64 / int64(time.Microsecond)
+	return time.Duration(min(max(n, -most), most)) * time.Microsecond
+}
+
 func encodeRefusal(e *verdict.Error, v config.Version) *wire.Refusal {
 	refusal := &wire.Refusal{
 		Verdict: uint32(e.Verdict), Reason: uint32(e.Reason),
@@ -172,7 +179,7 @@
 	e := &verdict.Error{
 		Verdict:          verdict.Verdict(r.GetVerdict()),
 		Reason:           verdict.Reason(r.GetReason()),
-		RetryAfter:       time.Duration(r.GetRetryAfterMicros()) * time.Microsecond,
+		RetryAfter:       microseconds(r.GetRetryAfterMicros()),
 		Fenced:           r.GetFenced(),
 		HostListRevision: r.GetHostListRevision(),
 		HostListEra:      r.GetHostListEra(),
--- a/internal/exchange/invalid_test.go
+++ b/internal/exchange/invalid_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -68,4 +70,34 @@
 		Expect(err).To(HaveOccurred())
 		Expect(<-read).To(BeNumerically("<=", 16<<10+1))
 	})
+
+	// Guards against times that wrap: a refusal for ever said that the caller may return at once,
+	// and a request without a time limit arrived after its deadline.
+	DescribeTable("has times that stay long",
+		func(micros int64) {
+			const long = 24 * time.Hour
+			server := exchange.NewServer(runnerFunc(func(_ context.Context, r *contract.Request) (*contract.Answer, error) {
+				Expect(time.Until(r.Deadline)).To(BeNumerically(">", long))
+				Expect(time.Until(r.Objective)).To(BeNumerically(">", long))
+				return nil, verdict.Refuse(verdict.ReasonOverloaded, time.Second)
+			}), func() config.Version { return config.Version{} }, telemetry.Silent())
+			client, address := newClientAndServer(nil, func(head *wire.RequestHead, stream *link.Stream) {
+				defer GinkgoRecover()
+				head.BudgetMicros, head.ObjectiveMicros = micros, micros
+				server.Serve(context.Background(), head, stream)
+			})
+			_, err := client.Do(context.Background(), address, newRequest(http.NoBody, 0))
+			Expect(verdict.FromError(err).Reason).To(Equal(verdict.ReasonOverloaded))
+
+			client, address = newClientAndServer(nil, func(head *wire.RequestHead, stream *link.Stream) {
+				_ = stream.Send(&wire.AnswerHead{Id: head.GetId(), Refused: &wire.Refusal{
+					Verdict: uint32(verdict.NotRun), Reason: uint32(verdict.ReasonOverloaded), RetryAfterMicros: micros,
+				}})
+				_ = stream.Flush()
+			})
+			_, err = client.Do(context.Background(), address, newRequest(http.NoBody, 0))
+			Expect(verdict.FromError(err).RetryAfter).To(BeNumerically(">", long))
+		},
+		Entry("that wrap to 0", int64(1<<62)), Entry("that wrap below 0", int64(1e16)), Entry("the longest", int64(math.MaxInt64)),
+	)
 })
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -63,7 +63,7 @@
 	receivedAt := time.Now()
 	// The time left counts from the sending: a host that is overloaded, or a link that was
 	// silent, may deliver a request seconds late.
-	delay := s.transit.Delay(head.GetSender(), time.Duration(head.GetSentMicros())*time.Microsecond, bootclock.Now())
+	delay := s.transit.Delay(head.GetSender(), microseconds(head.GetSentMicros()), bootclock.Now())
 	r := decodeRequest(head, receivedAt.Add(-delay))
 	ctx = s.propagator.Extract(ctx, propagation.MapCarrier{traceParentHeader: head.GetTraceParent()})
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
