Bound a server's Retry-After in the plain installation: long ones wrapped

Found by reading.

Cause: seconds were multiplied to nanoseconds without a bound.

Fix: at most an hour is passed on, also of a number beyond 64 bits.

Three specs of internal/lasthop failed before and pass.

--- a/internal/lasthop/lasthop_test.go
+++ b/internal/lasthop/lasthop_test.go
@@ -219,6 +219,23 @@
 		Entry("a 503 without a verdict for another request is its answer", "", false, nil),
 	)
 
+	// Guards against seconds that wrap: a server that wants no requests for years got them after
+	// 0.3 s.
+	DescribeTable("passes on a long Retry-After of the server as a long one",
+		func(seconds string) {
+			w.setHandler(func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set(contract.HeaderVerdict, "not-run")
+				rw.Header().Set("Retry-After", seconds)
+				rw.WriteHeader(503)
+			})
+			_, err := w.hop.Run(ctx, keyedRequest("", "a"))
+			Expect(verdict.FromError(err).RetryAfter).To(Equal(time.Hour))
+		},
+		Entry("that wraps to a short one", "18446744074"),
+		Entry("the longest", "9223372036854775807"),
+		Entry("beyond 64 bits", "99999999999999999999"),
+	)
+
 	It("returns a long answer completely and records only that the key ran", func() {
 		long := strings.Repeat("x", 1<<20)
 		w.setHandler(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, long) })
--- a/internal/lasthop/send.go
+++ b/internal/lasthop/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -87,12 +88,15 @@
 	return e
 }
 
+// maxServerRetryAfterSeconds bounds the Retry-After of a server that is passed on.
+const maxServerRetryAfterSeconds = 3600
+
 func parseRetryAfter(header http.Header) time.Duration {
 	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	if err != nil && !errors.Is(err, strconv.ErrRange) || seconds < 0 {
 		return time.Second
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, maxServerRetryAfterSeconds)) * time.Second
 }
 
 // permitBody releases the permit when the answer has been read or closed.
