Keep a link of which one stream ended without an answer (LOST)

When a gate ended the stream of one request without an answer, all other requests on the link to it were cut, and the server avoided.

Cause: the entry took each stream without an answer for a broken link.

Fix: a stream that ended, or held what is no message, on a link that is open is the failure of that request alone (ErrStreamEnded). The gate is still asked whether it handed the request over, and a link that ended is dropped as before.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -42,6 +43,10 @@
 // an older build passes on what its server sends.
 var ErrInvalidStatus = eris.New("answer has an invalid status")
 
+// ErrStreamEnded reports that a gate ended the stream of one request without an answer that
+// can be read, on a link that is sound.
+var ErrStreamEnded = eris.New("the gate ended the stream without an answer")
+
 // Client sends requests to the gates of other nodes.
 type Client struct {
 	dialer     *link.Dialer
@@ -142,7 +147,7 @@
 	head := &wire.AnswerHead{}
 	for {
 		if err := c.stream.Receive(head); err != nil {
-			return nil, receiveError(ctx, err)
+			return nil, c.receiveError(ctx, err)
 		}
 		if !head.GetGoOn() {
 			break
@@ -210,17 +215,25 @@
 
 // receiveError classifies the error of a stream that broke after the request was sent.
 // The verdict is MayHaveRun, since nothing proves that the request did not run.
-func receiveError(ctx context.Context, err error) *verdict.Error {
+func (c *clientCall) receiveError(ctx context.Context, err error) *verdict.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, err)
 	case ctx.Err() != nil:
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, err)
+	case endsOneStream(err) && c.stream.LinkOpen():
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, eris.Wrap(ErrStreamEnded, err.Error()))
 	default:
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, err)
 	}
 }
 
+// endsOneStream reports whether an error may be that of a single stream: its peer closed it,
+// or sent what is no message.
+func endsOneStream(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, link.ErrMalformed) || errors.Is(err, link.ErrFrameTooLong)
+}
+
 // decodeLoad decodes a load; a peer that breaks the protocol may send none.
 func decodeLoad(l *wire.Load) contract.Load {
 	if l == nil {
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -78,6 +79,13 @@
 	_ = s.conn.SetReadDeadline(pastDeadline)
 }
 
+// LinkOpen reports whether the link that carries the stream is open, also if the stream has
+// ended.
+func (s *Stream) LinkOpen() bool {
+	carried, ok := s.conn.Conn.(interface{ Session() *yamux.Session })
+	return ok && !carried.Session().IsClosed()
+}
+
 // Transferred returns the number of bytes sent and received so far.
 func (s *Stream) Transferred() int64 {
 	return s.conn.transferred.Load()
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -13,10 +13,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 
 	"boragefall/internal/balance"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/exchange"
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
 	"boragefall/internal/linkbudget"
@@ -211,6 +213,25 @@
 	}
 }
 
+// Guards against one request without an answer that takes its link with it, on which the
+// requests of other callers are in progress.
+func TestStreamWithoutAnAnswerDoesNotDropTheLink(t *testing.T) {
+	for _, handedOver := range []bool{false, true} {
+		w := newDispatcherFixture(t, 3)
+		w.peers.fence = func(string) (bool, error) { return handedOver, nil }
+		w.peers.answer = func(_ context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+			if n == 0 {
+				return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnectionLost, eris.Wrap(exchange.ErrStreamEnded, "EOF"))
+			}
+			return answerWithStatus(http.StatusOK), nil
+		}
+		_, e := w.do(t.Context(), false)
+		w.Expect(w.peers.drops).To(BeZero())
+		w.Expect(w.peers.fenceCalls).To(Equal(1))
+		w.Expect(e == nil).To(Equal(!handedOver), "sent again only if it was not handed over")
+	}
+}
+
 func TestFencedRequestIsRetriedAfterItsLinkIsLost(t *testing.T) {
 	w := newDispatcherFixture(t, 3)
 	w.peers.fence = func(id string) (bool, error) { w.Expect(id).To(Equal("9c41")); return false, nil }
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -13,6 +13,7 @@
 	"boragefall/internal/balance"
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
+	"boragefall/internal/exchange"
 	"boragefall/internal/mesh"
 	"boragefall/internal/verdict"
 )
@@ -246,7 +247,7 @@
 		if broken := r.Body.(*attemptReader).failure(); broken != nil {
 			// The entry ended the stream itself; the link carries other requests.
 			refusal = verdict.Refuse(broken.Reason, shortRetryAfter)
-		} else {
+		} else if !errors.Is(failure.Cause, exchange.ErrStreamEnded) {
 			d.balancer.Eject(listing.ID, now.Add(unreachableEjectionTime), now)
 			d.peers.DropLink(peer)
 		}
