--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -53,6 +53,11 @@
 	}
 	stream := newStream(conn)
 	stream.Bind(ctx)
+	stream.peerReadsRawText = peer.readsRawText.Load()
+	if !stream.peerReadsRawText && !isValidText(opening) {
+		stream.Close()
+		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, errRawText)
+	}
 	if err := stream.Send(opening); err != nil {
 		stream.Close()
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
@@ -133,58 +138,58 @@
 	return 0
 }
 
-func (d *Dialer) dial(ctx context.Context, address string) (*yamux.Session, int64, error) {
+func (d *Dialer) dial(ctx context.Context, address string) (*yamux.Session, *wire.Hello, error) {
 	netDialer := net.Dialer{Timeout: d.cfg.DialTimeout}
 	conn, err := netDialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, 0, err
+		return nil, nil, err
 	}
 	if err := setUnackedTimeout(conn, d.cfg.UnackedTimeout); err != nil {
 		_ = conn.Close()
-		return nil, 0, err
+		return nil, nil, err
 	}
 	counted := &countedConn{Conn: newCoalescingConn(conn), counter: d.counter, class: d.class}
 	if _, err := counted.Write([]byte{byte(d.class)}); err != nil {
 		_ = counted.Close()
-		return nil, 0, err
+		return nil, nil, err
 	}
 	session, err := yamux.Client(counted, d.cfg.yamux())
 	if err != nil {
 		_ = counted.Close()
-		return nil, 0, err
+		return nil, nil, err
 	}
-	bootMillis, err := d.exchangeHello(session)
+	hello, err := d.exchangeHello(session)
 	if err != nil {
 		_ = session.Close()
-		return nil, 0, err
+		return nil, nil, err
 	}
-	return session, bootMillis, nil
+	return session, hello, nil
 }
 
-// exchangeHello exchanges Hello messages and returns the peer's BootMillis.
-func (d *Dialer) exchangeHello(session *yamux.Session) (int64, error) {
+// exchangeHello exchanges Hello messages and returns the peer's.
+func (d *Dialer) exchangeHello(session *yamux.Session) (*wire.Hello, error) {
 	conn, err := session.OpenStream()
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	stream := newStream(conn)
 	defer stream.Close()
 	_ = conn.SetDeadline(time.Now().Add(d.cfg.DialTimeout))
 	opening := &wire.Opening{Kind: &wire.Opening_Hello{Hello: d.self.hello()}}
 	if err := stream.Send(opening); err != nil {
-		return 0, err
+		return nil, err
 	}
 	if err := stream.Flush(); err != nil {
-		return 0, err
+		return nil, err
 	}
 	answer := &wire.Hello{}
 	if err := stream.Receive(answer); err != nil {
-		return 0, err
+		return nil, err
 	}
 	if answer.GetProtocol() == 0 {
-		return 0, ErrProtocol
+		return nil, ErrProtocol
 	}
-	return answer.GetBootMillis(), nil
+	return answer, nil
 }
 
 // decorrelatedJitter returns the next backoff after a failure: a random duration
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -11,5 +11,7 @@
 	ErrNoListener     = eris.Wrap(ErrUnreachable, "no process listens")
 	ErrProtocol       = eris.New("peer supports no common protocol version")
 	ErrUnexpectedKind = eris.New("stream opening has an unexpected kind")
-	ErrClosed         = eris.New("link is closed")
+	// errRawText reports a message that a peer of an older build can not read.
+	errRawText = eris.New("the peer's build reads only UTF-8")
+	ErrClosed  = eris.New("link is closed")
 )
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -51,6 +52,8 @@
 	conn  *coalescingConn
 	place *listen.Place
 	inbox *inbox
+	// peerReadsRawText reports that the peer's Hello said that it reads text that is not UTF-8.
+	peerReadsRawText *atomic.Bool
 	// refusals refuses the streams that have no place.
 	refusals *refusals
 }
@@ -152,7 +155,7 @@
 	if class >= classCount {
 		return nil, acceptedLink{}, ErrMalformed
 	}
-	accepted := acceptedLink{class: class, conn: newCoalescingConn(conn)}
+	accepted := acceptedLink{class: class, conn: newCoalescingConn(conn), peerReadsRawText: &atomic.Bool{}}
 	accepted.inbox = l.intake.inboxes.newInbox(accepted.conn)
 	counted := &countedConn{Conn: accepted.inbox, counter: l.counter, class: class}
 	session, err := yamux.Server(counted, l.cfg.yamux())
@@ -168,6 +171,7 @@
 	defer place.Leave()
 	stream := newStream(inboxConn{conn, accepted.inbox})
 	stream.maxMessage = maxIncomingBytes
+	stream.peerReadsRawText = accepted.peerReadsRawText.Load()
 	opening := &wire.Opening{}
 	err := l.receiveOpening(stream, place, opening)
 	if errors.Is(err, errPlaceLost) && l.intake.beginRefusal() {
@@ -186,6 +190,7 @@
 	}
 	defer func() { accepted.place.End(time.Now()) }()
 	if hello := opening.GetHello(); hello != nil {
+		accepted.peerReadsRawText.Store(hello.GetRawText())
 		_ = stream.Send(l.self.hello())
 		_ = stream.Flush()
 		return
--- a/internal/link/outgoing.go
+++ b/internal/link/outgoing.go
@@ -18,6 +18,7 @@
 	activeSession atomic.Pointer[yamux.Session]
 	lastUsedAt    atomic.Int64 // when a session was last requested, in Unix nanoseconds
 	bootMillis    atomic.Int64 // the peer's BootMillis at the last successful dial
+	readsRawText  atomic.Bool  // the peer's RawText at the last successful dial
 
 	dialMu   sync.Mutex // serialises dials; guards the fields below
 	backoff  time.Duration
@@ -41,7 +42,7 @@
 	if time.Now().Before(o.nextDial) {
 		return nil, eris.Wrapf(o.dialErr, "%s: waiting to redial", o.address)
 	}
-	session, bootMillis, err := d.dial(ctx, o.address)
+	session, hello, err := d.dial(ctx, o.address)
 	if err != nil {
 		o.backoff = decorrelatedJitter(d.cfg.RedialBackoffBase, o.backoff, d.cfg.RedialBackoffMax)
 		o.nextDial = time.Now().Add(o.backoff)
@@ -52,7 +53,8 @@
 		return nil, eris.Wrapf(o.dialErr, "%s: %v", o.address, err)
 	}
 	o.backoff = 0
-	o.bootMillis.Store(bootMillis)
+	o.bootMillis.Store(hello.GetBootMillis())
+	o.readsRawText.Store(hello.GetRawText())
 	o.activeSession.Store(session)
 	return session, nil
 }
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -18,5 +18,6 @@
 		Host:       string(i.Host),
 		BootMillis: i.BootMillis,
 		Validation: i.Validation,
+		RawText:    true,
 	}
 }
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -33,6 +33,8 @@
 	closeOnce sync.Once
 	// maxMessage bounds the messages received; 0 means MaxFrameBytes.
 	maxMessage int
+	// peerReadsRawText reports that the peer reads text that is not UTF-8.
+	peerReadsRawText bool
 }
 
 // streamConn counts the bytes of a stream.
@@ -96,8 +98,12 @@
 	s.unbind = context.AfterFunc(ctx, s.Abort)
 }
 
-// Send writes a message to the buffer, which Flush sends.
+// Send writes a message to the buffer, which Flush sends. A peer that reads only UTF-8 gets
+// replacement characters for bytes that are not: it would close the link otherwise.
 func (s *Stream) Send(m proto.Message) error {
+	if !s.peerReadsRawText && !isValidText(m) {
+		m = withValidText(m)
+	}
 	return WriteFrame(s.writer, m)
 }
 
