--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -195,7 +195,8 @@
 		Bodies: bodies, Admitter: admitter,
 		Tracer: t, Meter: m, Logger: logger,
 	})
-	return callers{&http.Server{Handler: handler, IdleTimeout: idleTimeout}}
+	// net/http answers OPTIONS * itself otherwise, as no server of a route would.
+	return callers{&http.Server{Handler: handler, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true}}
 }
 
 // newGuard bounds what untrusted clients can take.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -341,7 +341,11 @@
 type callersServer struct{ *http.Server }
 
 func newCallersServer(e *Entry) callersServer {
-	return callersServer{&http.Server{Handler: e.Handler(), IdleTimeout: callerIdleTimeout}}
+	return callersServer{&http.Server{
+		Handler: e.Handler(), IdleTimeout: callerIdleTimeout,
+		// net/http answers OPTIONS * itself otherwise, as no server of a route would.
+		DisableGeneralOptionsHandler: true,
+	}}
 }
 
 // newGuard bounds what untrusted clients can take.
