--- a/internal/serverconn/exchange.go
+++ b/internal/serverconn/exchange.go
@@ -211,7 +211,7 @@
 }
 
 func (x *exchange) write(out *http.Request) error {
-	if err := out.Write(x.conn.writer); err != nil {
+	if err := writeRequest(x.conn.writer, out, x.request.URI); err != nil {
 		return err
 	}
 	return x.conn.writer.Flush()
