Avoid no server for a request that its older gate can't read; tidy the change

The entry avoided a server for a second when its gate's build can't read the text of one request. TestGateThatCannotReadOneRequestIsNotAvoided failed without the part in task.go and passes.

--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -56,7 +56,7 @@
 	stream.peerReadsRawText = peer.readsRawText.Load()
 	if !stream.peerReadsRawText && !isValidText(opening) {
 		stream.Close()
-		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, errRawText)
+		return nil, eris.Wrap(ErrRawText, address)
 	}
 	if err := stream.Send(opening); err != nil {
 		stream.Close()
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -11,7 +11,8 @@
 	ErrNoListener     = eris.Wrap(ErrUnreachable, "no process listens")
 	ErrProtocol       = eris.New("peer supports no common protocol version")
 	ErrUnexpectedKind = eris.New("stream opening has an unexpected kind")
-	// errRawText reports a message that a peer of an older build can not read.
-	errRawText = eris.New("the peer's build reads only UTF-8")
+	// ErrRawText is an ErrUnreachable for one message: its text is not UTF-8, and the peer, of
+	// an older build, reads nothing else.
+	ErrRawText = eris.Wrap(ErrUnreachable, "the peer's build reads only UTF-8")
 	ErrClosed  = eris.New("link is closed")
 )
--- a/internal/link/rawtext_test.go
+++ b/internal/link/rawtext_test.go
@@ -80,7 +80,7 @@
 			return stream.Receive(&wire.AnswerHead{})
 		}
 		Expect(request("/ascii")).To(Succeed())
-		Expect(request("/" + rawText)).To(MatchError(link.ErrUnreachable))
+		Expect(request("/" + rawText)).To(MatchError(link.ErrRawText))
 		Expect(dialer.LinkCount()).To(Equal(1))
 		Expect(request("/ascii")).To(Succeed())
 	})
--- a/internal/linkbudget/link.go
+++ b/internal/linkbudget/link.go
@@ -187,13 +187,11 @@
 	if !l.schedule.Sending() {
 		l.meter.deliveries.recordIdle(now.Sub(later(l.schedule.freeAt, l.endedAt)))
 	}
-	bytes := l.schedule.SentUntil(stated.Bytes, stated.Deadline, now)
 	if r == nil {
-		stated := stated
-		stated.Bytes = bytes
 		r = l.schedule.Force(stated)
 	}
-	if bytes >= 0 {
+	if stated.Bytes >= 0 {
+		bytes := l.schedule.SentUntil(stated.Bytes, stated.Deadline, now)
 		l.recordMean(float64(bytes))
 		l.schedule.Adjust(r, bytes, now)
 	} else {
--- a/internal/serverconn/target_test.go
+++ b/internal/serverconn/target_test.go
@@ -31,20 +31,17 @@
 		type received struct{ line, host, id, body string }
 		seen := make(chan received, 1)
 		s := listen(func(_ int, c net.Conn, r *bufio.Reader) {
-			for {
-				line, err := r.ReadString('\n')
-				if err != nil {
-					return
-				}
-				request, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader("POST / HTTP/1.1\r\n"), r)))
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(request.Body) // a shorter body fails the comparison
-				seen <- received{line, request.Host, request.Header.Get("Id"), string(body)}
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader("POST / HTTP/1.1\r\n"), r)))
+			if err != nil {
 				return
 			}
+			body, _ := io.ReadAll(request.Body) // a shorter body fails the comparison
+			seen <- received{line, request.Host, request.Header.Get("Id"), string(body)}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
 		})
 		client := serverconn.NewClient(serverconn.NewPool(serverconn.Config{Address: s.Addr().String()}), headers{})
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/sidecar/dispatcher_test.go
+++ b/internal/sidecar/dispatcher_test.go
@@ -21,6 +21,7 @@
 	"boragefall/internal/exchange"
 	"boragefall/internal/host"
 	"boragefall/internal/intake"
+	"boragefall/internal/link"
 	"boragefall/internal/linkbudget"
 	"boragefall/internal/mesh"
 	"boragefall/internal/serverconn"
@@ -232,6 +233,23 @@
 	}
 }
 
+// Guards against a server that is avoided because of one request that its gate, of an older
+// build, can't read.
+func TestGateThatCannotReadOneRequestIsNotAvoided(t *testing.T) {
+	w := newDispatcherFixture(t, 2)
+	w.peers.answer = func(_ context.Context, n int, _ *contract.Request) (*contract.Answer, error) {
+		if n == 0 {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, eris.Wrap(link.ErrRawText, "10.0.0.2"))
+		}
+		return answerWithStatus(http.StatusOK), nil
+	}
+	for range 20 {
+		_, e := w.do(t.Context(), false)
+		w.Expect(e).To(BeNil())
+	}
+	w.Expect(w.peers.sent[1:]).To(ContainElement(w.peers.sent[0]))
+}
+
 func TestFencedRequestIsRetriedAfterItsLinkIsLost(t *testing.T) {
 	w := newDispatcherFixture(t, 3)
 	w.peers.fence = func(id string) (bool, error) { w.Expect(id).To(Equal("9c41")); return false, nil }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -160,7 +160,7 @@
 		}
 		return 0
 	})
-	m.Gauge("config_defects", "Parts of the configuration in force that were not understood.", func() float64 {
+	m.Gauge("config_defects", "Parts of the configuration in force that were not understood, and numbers that were out of bounds.", func() float64 {
 		if view := c.View(); view.Config != nil {
 			return float64(len(view.Config.Defects))
 		}
--- a/internal/sidecar/shares.go
+++ b/internal/sidecar/shares.go
@@ -29,8 +29,8 @@
 
 // splitState is the round-robin state of one split route.
 type splitState struct {
-	// split is what the route's configuration states, weights the same as scaledWeights
-	// returns it, and total their sum.
+	// split is that of the route's configuration. weights are its weights as scaledWeights
+	// returns them, and total is their sum.
 	split   []mesh.Destination
 	weights []float64
 	total   float64
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -14,6 +14,7 @@
 	"boragefall/internal/catalog"
 	"boragefall/internal/contract"
 	"boragefall/internal/exchange"
+	"boragefall/internal/link"
 	"boragefall/internal/mesh"
 	"boragefall/internal/verdict"
 )
@@ -236,6 +237,9 @@
 	failure := verdict.FromError(err)
 	switch failure.Reason {
 	case verdict.ReasonUnreachable, verdict.ReasonLacksResource:
+		if errors.Is(failure.Cause, link.ErrRawText) {
+			break // the gate takes other requests
+		}
 		d.balancer.Eject(listing.ID, now.Add(unreachableEjectionTime), now)
 	case verdict.ReasonOverloaded, verdict.ReasonCold:
 		d.balancer.MarkFull(listing.ID, admissionClass(r), now.Add(failure.RetryAfter), now)
